Decision libraries: consensus, storage, catalog, placement, ledger, queueing, routing, limits

Cause: nothing stood yet. These are the pure machines that the programs will be wired from; each reads no clock, socket or (but for storage) file, and has a naive version beside it in its tests. Ruled out: gRPC types in the decision libraries (compile time, and an arrow upwards); separate plain structs for log entries and catalog records beside the messages (a conversion layer that can only go wrong); so messages alone live in libs/schema, services in libs/rpc.

--- /dev/null
+++ b/libs/catalog/src/catalog.cpp
@@ -0,0 +1,368 @@
+// Application of commands, one function for each kind.
+#include "catalog/catalog.h"
+
+#include <algorithm>
+
+#include "base/checksum.h"
+
+namespace burdockdeck::catalog {
+
+namespace {
+
+using schema::agent_record;
+using schema::catalog_state;
+using schema::claim_record;
+using schema::command_reply;
+
+command_reply refused(std::string why) {
+    command_reply r;
+    r.set_status(schema::status_refused);
+    r.set_message(std::move(why));
+    return r;
+}
+
+command_reply done(const catalog_state& s, std::string what = "") {
+    command_reply r;
+    r.set_status(schema::status_done);
+    r.set_message(std::move(what));
+    r.set_revision(s.revision());
+    return r;
+}
+
+// Drops the record with the lowest sequence while there are too many.
+template <class Map>
+void drop_oldest(Map& records) {
+    while (static_cast<int>(records.size()) > max_kept_records) {
+        const auto oldest = std::min_element(
+            records.begin(), records.end(),
+            [](const auto& a, const auto& b) { return a.second.sequence() < b.second.sequence(); });
+        records.erase(oldest->first);
+    }
+}
+
+void touch(catalog_state& s, agent_record& a) {
+    s.set_revision(s.revision() + 1);
+    a.set_revision(s.revision());
+}
+
+// The record of this very incarnation, or null.
+agent_record* find_incarnation(catalog_state& s, const std::string& name,
+                               std::uint64_t incarnation) {
+    const auto found = s.mutable_agents()->find(name);
+    if (found == s.mutable_agents()->end() ||
+        found->second.registration().incarnation() != incarnation) {
+        return nullptr;
+    }
+    return &found->second;
+}
+
+command_reply not_that_incarnation(const std::string& name) {
+    return refused("agent `" + name + "` is not registered under that incarnation");
+}
+
+command_reply apply_trial(catalog_state& s, const schema::trial_command& c,
+                          const std::string& operation_id) {
+    if (c.document().environment() != s.environment()) {
+        return refused("the document is for environment `" + c.document().environment() +
+                       "`, this cluster serves `" + s.environment() + "`");
+    }
+    schema::proof_record proof;
+    proof.set_digest(c.digest());
+    proof.set_base_revision(s.current().revision());
+    proof.set_sequence(s.sequence());
+    const std::string seed =
+        c.digest() + ":" + std::to_string(proof.base_revision()) + ":" + operation_id;
+    proof.set_id(digest_of(seed));
+    (*s.mutable_proofs())[proof.id()] = proof;
+    drop_oldest(*s.mutable_proofs());
+    command_reply reply = done(s, "the document may be promoted with this proof");
+    reply.set_proof_id(proof.id());
+    return reply;
+}
+
+command_reply apply_promote(catalog_state& s, const schema::promote_command& c, mutation broken) {
+    const std::string& label = c.document().label();
+    if (s.current().digest() == c.digest()) {
+        return done(s, "this document is in force already");
+    }
+    const auto used = s.labels().find(label);
+    if (used != s.labels().end() && used->second.digest() != c.digest()) {
+        return refused("label `" + label + "` was promoted before with other content, digest " +
+                       used->second.digest());
+    }
+    const auto proof = s.proofs().find(c.proof_id());
+    if (proof == s.proofs().end()) {
+        return refused("proof `" + c.proof_id() + "` is not known: run trial again");
+    }
+    if (proof->second.digest() != c.digest()) {
+        return refused("proof `" + c.proof_id() + "` was given for other content");
+    }
+    if (proof->second.base_revision() != s.current().revision() &&
+        broken != mutation::skip_base_check) {
+        return refused("since the trial, label `" + s.current().document().label() +
+                       "` came into force at revision " + std::to_string(s.current().revision()) +
+                       ": run trial again");
+    }
+    s.set_revision(s.revision() + 1);
+    schema::document_record& current = *s.mutable_current();
+    *current.mutable_document() = c.document();
+    current.set_digest(c.digest());
+    current.set_revision(s.revision());
+    schema::label_record& kept = (*s.mutable_labels())[label];
+    kept.set_digest(c.digest());
+    kept.set_sequence(s.sequence());
+    drop_oldest(*s.mutable_labels());
+    return done(s, "in force");
+}
+
+command_reply apply_register(catalog_state& s, const schema::register_command& c) {
+    const schema::agent_registration& r = c.registration();
+    agent_record& a = (*s.mutable_agents())[r.name()];
+    const std::uint64_t known = a.registration().incarnation();
+    if (r.incarnation() < known) {
+        command_reply reply = refused("agent `" + r.name() + "` has a later incarnation");
+        reply.set_latest_incarnation(known);
+        return reply;
+    }
+    const bool same = r.incarnation() == known;
+    if (same && a.live() && a.registration().SerializeAsString() == r.SerializeAsString()) {
+        return done(s);
+    }
+    *a.mutable_registration() = r;
+    a.set_live(true);
+    a.set_leaving(false);
+    a.clear_resident();
+    s.set_last_fence(s.last_fence() + 1);
+    a.set_fence(s.last_fence());
+    if (!same) {
+        a.set_adapter_share(0);
+    }
+    touch(s, a);
+    return done(s);
+}
+
+command_reply apply_expire(catalog_state& s, const schema::expire_command& c) {
+    agent_record* a = find_incarnation(s, c.agent(), c.incarnation());
+    if (a == nullptr) {
+        return not_that_incarnation(c.agent());
+    }
+    if (!a->live()) {
+        return done(s);
+    }
+    a->set_live(false);
+    a->clear_resident();
+    a->clear_assigned();
+    a->set_adapter_share(0);
+    touch(s, *a);
+    return done(s);
+}
+
+command_reply apply_leaving(catalog_state& s, const schema::leaving_command& c) {
+    const auto found = s.mutable_agents()->find(c.agent());
+    if (found == s.mutable_agents()->end()) {
+        return refused("agent `" + c.agent() + "` is not known");
+    }
+    agent_record& a = found->second;
+    if (c.incarnation() != 0 && a.registration().incarnation() != c.incarnation()) {
+        return not_that_incarnation(c.agent());
+    }
+    if (a.leaving() != c.leaving()) {
+        a.set_leaving(c.leaving());
+        touch(s, a);
+    }
+    return done(s);
+}
+
+command_reply apply_residency(catalog_state& s, const schema::residency_command& c) {
+    agent_record* a = find_incarnation(s, c.agent(), c.incarnation());
+    if (a == nullptr || !a->live()) {
+        return not_that_incarnation(c.agent());
+    }
+    *a->mutable_resident() = c.resident();
+    touch(s, *a);
+    return done(s);
+}
+
+command_reply apply_assign(catalog_state& s, const schema::assign_command& c) {
+    if (c.document_revision() != s.current().revision()) {
+        return refused("planned for document revision " + std::to_string(c.document_revision()) +
+                       ", in force is " + std::to_string(s.current().revision()));
+    }
+    for (const schema::assignment& change : c.assignments()) {
+        agent_record* a = find_incarnation(s, change.agent(), change.incarnation());
+        if (a == nullptr || !a->live()) {
+            continue;
+        }
+        *a->mutable_assigned() = change.assigned();
+        s.set_last_fence(s.last_fence() + 1);
+        a->set_fence(s.last_fence());
+        touch(s, *a);
+    }
+    return done(s);
+}
+
+command_reply apply_claim(catalog_state& s, const schema::claim_command& c, std::uint64_t at_ms,
+                          mutation broken) {
+    const auto found = s.claims().find(c.key());
+    if (found != s.claims().end() && broken != mutation::run_key_again) {
+        const claim_record& existing = found->second;
+        if (existing.body_digest() != c.body_digest()) {
+            return refused("this Idempotency-Key was used with another request body");
+        }
+        command_reply reply = done(s);
+        if (existing.attempt() != c.attempt()) {
+            reply.set_status(schema::status_exists);
+        }
+        *reply.mutable_claim() = existing;
+        return reply;
+    }
+    const agent_record* a = find_incarnation(s, c.agent(), c.incarnation());
+    if (a == nullptr || !a->live() || a->leaving()) {
+        return not_that_incarnation(c.agent());
+    }
+    claim_record& fresh = (*s.mutable_claims())[c.key()];
+    fresh.set_key(c.key());
+    fresh.set_body_digest(c.body_digest());
+    fresh.set_attempt(c.attempt());
+    fresh.set_agent(c.agent());
+    fresh.set_incarnation(c.incarnation());
+    fresh.set_state(schema::claim_open);
+    fresh.set_at_ms(at_ms);
+    command_reply reply = done(s);
+    *reply.mutable_claim() = fresh;
+    return reply;
+}
+
+command_reply apply_settle(catalog_state& s, const schema::settle_command& c) {
+    const auto found = s.mutable_claims()->find(c.key());
+    if (found == s.mutable_claims()->end() || found->second.attempt() != c.attempt()) {
+        return refused("no claim of this key by this attempt");
+    }
+    claim_record& claim = found->second;
+    if (claim.state() == schema::claim_done) {
+        return done(s);
+    }
+    switch (c.result()) {
+        case schema::settle_command::not_run:
+            s.mutable_claims()->erase(c.key());
+            break;
+        case schema::settle_command::done:
+            claim.set_state(schema::claim_done);
+            *claim.mutable_answer() = c.answer();
+            if (c.answer().body().size() > max_stored_answer_bytes) {
+                claim.mutable_answer()->clear_body();
+                claim.mutable_answer()->set_truncated(true);
+            }
+            break;
+        default:
+            claim.set_state(schema::claim_unknown);
+            break;
+    }
+    return done(s);
+}
+
+command_reply apply_expire_claims(catalog_state& s, const schema::expire_claims_command& c) {
+    auto& claims = *s.mutable_claims();
+    for (auto it = claims.begin(); it != claims.end();) {
+        it = it->second.at_ms() < c.before_ms() ? claims.erase(it) : std::next(it);
+    }
+    return done(s);
+}
+
+command_reply apply_share(catalog_state& s, const schema::share_command& c) {
+    agent_record* a = find_incarnation(s, c.agent(), c.incarnation());
+    if (a == nullptr || !a->live()) {
+        return not_that_incarnation(c.agent());
+    }
+    std::uint64_t total = c.adapter_share();
+    for (const auto& [name, other] : s.agents()) {
+        total += name == c.agent() ? 0 : other.adapter_share();
+    }
+    const bool grows = c.adapter_share() > a->adapter_share();
+    if (grows && total > s.current().document().limits().adapters_in_flight()) {
+        return refused("the shares would exceed the limit of adapters in flight");
+    }
+    // Shares reach their agents with renewals and are no part of the table.
+    a->set_adapter_share(c.adapter_share());
+    return done(s);
+}
+
+command_reply dispatch(catalog_state& s, const schema::command& c, mutation broken) {
+    switch (c.body_case()) {
+        case schema::command::kTrial:
+            return apply_trial(s, c.trial(), c.operation_id());
+        case schema::command::kPromote:
+            return apply_promote(s, c.promote(), broken);
+        case schema::command::kRegisterAgent:
+            return apply_register(s, c.register_agent());
+        case schema::command::kExpire:
+            return apply_expire(s, c.expire());
+        case schema::command::kLeaving:
+            return apply_leaving(s, c.leaving());
+        case schema::command::kResidency:
+            return apply_residency(s, c.residency());
+        case schema::command::kAssign:
+            return apply_assign(s, c.assign());
+        case schema::command::kClaim:
+            return apply_claim(s, c.claim(), c.at_ms(), broken);
+        case schema::command::kSettle:
+            return apply_settle(s, c.settle());
+        case schema::command::kExpireClaims:
+            return apply_expire_claims(s, c.expire_claims());
+        case schema::command::kShare:
+            return apply_share(s, c.share());
+        default:
+            return refused("this version does not know the command");
+    }
+}
+
+// Identifies a command's content; the time at which a leader took it does not count.
+std::string content_digest(const schema::command& c) {
+    schema::command content = c;
+    content.clear_at_ms();
+    return digest_of(content.SerializeAsString());
+}
+
+}  // namespace
+
+command_reply apply(catalog_state& s, const schema::command& c, mutation broken) {
+    s.set_sequence(s.sequence() + 1);
+    if (c.operation_id().empty()) {
+        return dispatch(s, c, broken);
+    }
+    const std::string content = content_digest(c);
+    const auto earlier = s.operations().find(c.operation_id());
+    if (earlier != s.operations().end()) {
+        if (earlier->second.command_digest() != content) {
+            return refused("operation id `" + c.operation_id() + "` was used for another command");
+        }
+        return earlier->second.reply();
+    }
+    const command_reply reply = dispatch(s, c, broken);
+    schema::operation_record& kept = (*s.mutable_operations())[c.operation_id()];
+    *kept.mutable_reply() = reply;
+    kept.set_command_digest(content);
+    kept.set_sequence(s.sequence());
+    drop_oldest(*s.mutable_operations());
+    return reply;
+}
+
+schema::table_update table_since(const catalog_state& s, const std::string& cluster,
+                                 std::uint64_t known_revision) {
+    const std::uint64_t base = known_revision > s.revision() ? 0 : known_revision;
+    schema::table_update update;
+    update.set_cluster(cluster);
+    update.set_revision(s.revision());
+    update.set_base_revision(base);
+    if (base == 0 || s.current().revision() > base) {
+        *update.mutable_current() = s.current();
+    }
+    for (const auto& [name, agent] : s.agents()) {
+        if (agent.revision() > base) {
+            *update.add_agents() = agent;
+        }
+    }
+    return update;
+}
+
+}  // namespace burdockdeck::catalog
--- /dev/null
+++ b/libs/ledger/src/ledger.cpp
@@ -0,0 +1,100 @@
+// Bookkeeping of accelerator memory.
+#include "ledger/ledger.h"
+
+#include <cassert>
+#include <set>
+
+namespace burdockdeck::ledger {
+
+std::uint64_t used_mb(const ledger& l) {
+    std::uint64_t total = 0;
+    for (const auto& [item, held] : l.holdings) {
+        total += held.memory_mb;
+    }
+    return total;
+}
+
+std::uint32_t free_mb(const ledger& l) {
+    const std::uint64_t used = used_mb(l);
+    return used >= l.capacity_mb ? 0 : static_cast<std::uint32_t>(l.capacity_mb - used);
+}
+
+result<nothing, no_room> begin_load(ledger& l, const std::string& item, std::uint32_t memory_mb) {
+    const auto found = l.holdings.find(item);
+    if (found != l.holdings.end()) {
+        if (found->second.state != holding_state::resident) {
+            found->second.state = holding_state::loading;
+            found->second.order_open = true;
+        }
+        return nothing{};
+    }
+    if (memory_mb > free_mb(l)) {
+        return no_room{memory_mb, free_mb(l)};
+    }
+    l.holdings[item] = {memory_mb, holding_state::loading, true};
+    return nothing{};
+}
+
+void load_done(ledger& l, const std::string& item) {
+    const auto found = l.holdings.find(item);
+    if (found == l.holdings.end()) {
+        return;
+    }
+    found->second.state = holding_state::resident;
+    found->second.order_open = false;
+}
+
+void load_refused(ledger& l, const std::string& item) {
+    const auto found = l.holdings.find(item);
+    if (found != l.holdings.end() && found->second.state == holding_state::loading) {
+        l.holdings.erase(found);
+    }
+}
+
+void order_unanswered(ledger& l, const std::string& item, mutation broken) {
+    const auto found = l.holdings.find(item);
+    if (found == l.holdings.end()) {
+        return;
+    }
+    if (broken == mutation::release_unanswered) {
+        l.holdings.erase(found);
+        return;
+    }
+    found->second.order_open = true;
+}
+
+void begin_unload(ledger& l, const std::string& item) {
+    const auto found = l.holdings.find(item);
+    assert(found != l.holdings.end());
+    found->second.state = holding_state::unloading;
+    found->second.order_open = true;
+}
+
+void unload_done(ledger& l, const std::string& item) {
+    l.holdings.erase(item);
+}
+
+void settle(ledger& l, const std::vector<inventory_item>& inventory, bool fenced) {
+    std::set<std::string> listed;
+    for (const inventory_item& i : inventory) {
+        listed.insert(i.item);
+        holding& held = l.holdings[i.item];
+        held.memory_mb = i.memory_mb;
+        if (i.loading) {
+            held.order_open = true;
+            continue;
+        }
+        if (held.state == holding_state::loading) {
+            held.state = holding_state::resident;
+            held.order_open = false;
+        }
+    }
+    for (auto it = l.holdings.begin(); it != l.holdings.end();) {
+        const holding& held = it->second;
+        const bool may_still_land = held.state == holding_state::loading && held.order_open;
+        const bool gone = !listed.contains(it->first) && (!may_still_land || fenced);
+        it = gone ? l.holdings.erase(it) : std::next(it);
+    }
+}
+
+}  // namespace burdockdeck::ledger
--- /dev/null
+++ b/libs/placement/src/plan.cpp
@@ -0,0 +1,484 @@
+// The planner. One run works on a copy of the fleet in which each agent's used memory counts what
+// is assigned and what is still resident.
+#include "placement/plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+#include "document/document.h"
+
+namespace burdockdeck::placement {
+
+namespace {
+
+// Steps after which a trial that has not settled is refused.
+constexpr int max_trial_steps = 200;
+
+// A declared model and its footprint in megabytes.
+struct declared_model {
+    const schema::model* model = nullptr;
+    std::uint32_t size_mb = 0;
+};
+
+struct working_agent {
+    const agent_view* view = nullptr;
+    std::set<instance> assigned;
+    std::set<instance> resident;
+    std::uint64_t used_mb = 0;
+    bool changed = false;
+};
+
+struct model_need {
+    const schema::model* model = nullptr;
+    instance target;
+    std::uint32_t wanted = 0;
+};
+
+// All that one run of the planner works on.
+struct workspace {
+    std::unordered_map<std::string_view, declared_model> declared;
+    std::vector<working_agent> agents;
+    std::vector<model_need> needs;
+    // For each model, the indices of agents with any version of it assigned or resident.
+    std::map<std::string, std::set<std::size_t>, std::less<>> holders;
+    plan_result out;
+};
+
+std::uint32_t size_of(const workspace& w, const instance& i) {
+    const auto found = w.declared.find(i.model);
+    return found == w.declared.end() ? 0 : found->second.size_mb;
+}
+
+const schema::model* find_model(const workspace& w, const std::string& name) {
+    const auto found = w.declared.find(name);
+    return found == w.declared.end() ? nullptr : found->second.model;
+}
+
+std::uint64_t free_mb(const working_agent& a) {
+    return a.view->memory_mb > a.used_mb ? a.view->memory_mb - a.used_mb : 0;
+}
+
+void note(workspace& w, const std::string& model, std::string text) {
+    w.out.decisions.push_back({model, std::move(text)});
+}
+
+void assign(workspace& w, std::size_t agent, const instance& i) {
+    working_agent& a = w.agents[agent];
+    if (!a.assigned.insert(i).second) {
+        return;
+    }
+    if (!a.resident.contains(i)) {
+        a.used_mb += size_of(w, i);
+    }
+    a.changed = true;
+    w.holders[i.model].insert(agent);
+}
+
+// Takes `i` out of the assignment. Its memory stays counted until the agent reports it gone.
+void unassign(workspace& w, std::size_t agent, const instance& i) {
+    working_agent& a = w.agents[agent];
+    if (a.assigned.erase(i) == 0) {
+        return;
+    }
+    if (!a.resident.contains(i)) {
+        a.used_mb -= std::min<std::uint64_t>(a.used_mb, size_of(w, i));
+    }
+    a.changed = true;
+}
+
+std::vector<std::size_t> holders_of(const workspace& w, const std::string& model) {
+    const auto found = w.holders.find(model);
+    if (found == w.holders.end()) {
+        return {};
+    }
+    return {found->second.begin(), found->second.end()};
+}
+
+// Counts agents that hold `target` as assigned and are not leaving.
+std::uint32_t assigned_count(const workspace& w, const instance& target) {
+    const auto holders = holders_of(w, target.model);
+    return static_cast<std::uint32_t>(std::count_if(holders.begin(), holders.end(), [&](auto i) {
+        return !w.agents[i].view->leaving && w.agents[i].assigned.contains(target);
+    }));
+}
+
+// Agents that serve some version of the model and are to keep it.
+std::uint32_t serving_count(const workspace& w, const std::string& model) {
+    std::uint32_t count = 0;
+    for (const std::size_t i : holders_of(w, model)) {
+        const working_agent& a = w.agents[i];
+        count += std::any_of(a.assigned.begin(), a.assigned.end(), [&](const instance& held) {
+            return held.model == model && a.resident.contains(held);
+        });
+    }
+    return count;
+}
+
+bool serves(const workspace& w, std::size_t agent, const instance& i) {
+    return w.agents[agent].assigned.contains(i) && w.agents[agent].resident.contains(i);
+}
+
+std::map<std::string, int> domains_of(const workspace& w, const instance& target) {
+    std::map<std::string, int> counts;
+    for (const std::size_t i : holders_of(w, target.model)) {
+        if (w.agents[i].assigned.contains(target)) {
+            ++counts[w.agents[i].view->failure_domain];
+        }
+    }
+    return counts;
+}
+
+// The best agent with room: fewest replicas in its failure domain, already resident, most free.
+std::optional<std::size_t> best_agent(const workspace& w, const instance& target) {
+    const std::map<std::string, int> domains = domains_of(w, target);
+    const auto in_domain = [&](const working_agent& a) {
+        const auto found = domains.find(a.view->failure_domain);
+        return found == domains.end() ? 0 : found->second;
+    };
+    std::optional<std::size_t> best;
+    std::tuple<int, int, std::int64_t> best_rank;
+    for (std::size_t i = 0; i < w.agents.size(); ++i) {
+        const working_agent& a = w.agents[i];
+        const bool resident = a.resident.contains(target);
+        const bool fits = resident || free_mb(a) >= size_of(w, target);
+        if (a.view->leaving || a.assigned.contains(target) || !fits) {
+            continue;
+        }
+        const std::tuple<int, int, std::int64_t> rank{in_domain(a), resident ? 0 : 1,
+                                                      -static_cast<std::int64_t>(free_mb(a))};
+        if (!best || rank < best_rank) {
+            best = i;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+// Gives up assignments of models or versions that are no longer declared, make before break: an
+// old version stays while it is the model's only one that serves.
+void drop_obsolete(workspace& w) {
+    for (std::size_t i = 0; i < w.agents.size(); ++i) {
+        const std::set<instance> held = w.agents[i].assigned;
+        for (const instance& old : held) {
+            const schema::model* m = find_model(w, old.model);
+            if (m == nullptr) {
+                unassign(w, i, old);
+                note(w, old.model, "removed from " + w.agents[i].view->name + ": not declared");
+                continue;
+            }
+            if (m->version() == old.version) {
+                continue;
+            }
+            const instance target{old.model, m->version()};
+            bool replaced = false;
+            for (const std::size_t h : holders_of(w, old.model)) {
+                replaced = replaced || serves(w, h, target);
+            }
+            const bool idle = !w.agents[i].resident.contains(old);
+            if (replaced || idle) {
+                unassign(w, i, old);
+                note(w, old.model, "version " + old.version + " leaves " +
+                                       w.agents[i].view->name + ": version " + m->version() +
+                                       (replaced ? " serves" : " is declared and this is not loaded"));
+            }
+        }
+    }
+}
+
+// Frees room for `target` on one agent by giving up replicas that others serve as well. Only
+// replicas above a model's need go, or old versions of the target itself.
+bool make_room(workspace& w, const instance& target) {
+    for (std::size_t i = 0; i < w.agents.size(); ++i) {
+        working_agent& a = w.agents[i];
+        if (a.view->leaving || a.view->memory_mb < size_of(w, target)) {
+            continue;
+        }
+        std::vector<instance> victims;
+        std::uint64_t room = free_mb(a);
+        for (const instance& held : a.assigned) {
+            const schema::model* m = find_model(w, held.model);
+            const bool old_version = held.model == target.model && held != target;
+            const bool spare = m != nullptr && held.version == m->version() &&
+                               assigned_count(w, held) > 1 && held.model != target.model;
+            if ((old_version || spare) && serving_count(w, held.model) > 1 &&
+                room < size_of(w, target)) {
+                victims.push_back(held);
+                room += size_of(w, held);
+            }
+        }
+        if (room < size_of(w, target) || victims.empty()) {
+            continue;
+        }
+        for (const instance& victim : victims) {
+            unassign(w, i, victim);
+            note(w, victim.model, "version " + victim.version + " leaves " + a.view->name +
+                                      ": makes room for " + target.model +
+                                      ", other replicas serve");
+        }
+        return true;
+    }
+    return false;
+}
+
+// True if an agent is about to have room for `target`: something unassigned is still resident.
+bool room_is_coming(const workspace& w, const instance& target) {
+    return std::any_of(w.agents.begin(), w.agents.end(), [&](const working_agent& a) {
+        std::uint64_t coming = free_mb(a);
+        for (const instance& r : a.resident) {
+            coming += a.assigned.contains(r) ? 0 : size_of(w, r);
+        }
+        return !a.view->leaving && !a.assigned.contains(target) && coming >= size_of(w, target);
+    });
+}
+
+// Adds replicas of `need` until it has `count`. With `must`, makes room where there is none.
+void raise_to(workspace& w, const model_need& need, std::uint32_t count, bool must,
+              std::string_view why) {
+    std::uint32_t have = assigned_count(w, need.target);
+    while (have < count) {
+        const std::optional<std::size_t> agent = best_agent(w, need.target);
+        if (agent) {
+            assign(w, *agent, need.target);
+            note(w, need.target.model, "version " + need.target.version + " goes to " +
+                                           w.agents[*agent].view->name + " (" +
+                                           w.agents[*agent].view->failure_domain +
+                                           "): " + std::string(why));
+            ++have;
+            continue;
+        }
+        const bool waits = must && (room_is_coming(w, need.target) || make_room(w, need.target));
+        if (must) {
+            note(w, need.target.model, waits ? "waits for memory to be released"
+                                             : "no agent has room for " +
+                                                   std::to_string(size_of(w, need.target)) + " MB");
+        }
+        return;
+    }
+}
+
+// Gives up replicas above `wanted`, from the failure domain that has most.
+void lower_to(workspace& w, const model_need& need) {
+    std::uint32_t have = assigned_count(w, need.target);
+    while (have > need.wanted) {
+        const std::map<std::string, int> domains = domains_of(w, need.target);
+        std::optional<std::size_t> victim;
+        for (const std::size_t i : holders_of(w, need.target.model)) {
+            const working_agent& a = w.agents[i];
+            if (!a.assigned.contains(need.target)) {
+                continue;
+            }
+            if (serves(w, i, need.target) && serving_count(w, need.target.model) < 2) {
+                continue;
+            }
+            if (!victim || domains.at(a.view->failure_domain) >
+                               domains.at(w.agents[*victim].view->failure_domain)) {
+                victim = i;
+            }
+        }
+        if (!victim) {
+            return;
+        }
+        unassign(w, *victim, need.target);
+        note(w, need.target.model, "leaves " + w.agents[*victim].view->name + ": " +
+                                       std::to_string(need.wanted) + " replicas are enough");
+        --have;
+    }
+}
+
+// A leaving agent's replicas go once others serve the model.
+void empty_leaving(workspace& w) {
+    for (std::size_t i = 0; i < w.agents.size(); ++i) {
+        if (!w.agents[i].view->leaving) {
+            continue;
+        }
+        const std::set<instance> held = w.agents[i].assigned;
+        for (const instance& h : held) {
+            const bool mine = serves(w, i, h);
+            if (!mine || serving_count(w, h.model) > 1) {
+                unassign(w, i, h);
+            }
+        }
+    }
+}
+
+std::vector<model_need> needs_of(const schema::document& d, const demand_by_model& demand,
+                                 const workspace& w, const plan_settings& settings,
+                                 planner_state& memory, time_point now) {
+    std::vector<model_need> needs;
+    for (const schema::model& m : d.models()) {
+        const auto load = demand.find(m.name());
+        model_need need{&m, {m.name(), m.version()}, 0};
+        need.wanted = wanted_replicas(m, load == demand.end() ? 0.0 : load->second, settings);
+        const std::uint32_t have = assigned_count(w, need.target);
+        time_point& needed = memory.last_needed.try_emplace(m.name(), now).first->second;
+        if (need.wanted >= have) {
+            needed = now;
+        } else if (now - needed < settings.scale_down_after) {
+            need.wanted = std::min(have, m.max_replicas());
+        }
+        needs.push_back(need);
+    }
+    // Within a priority the largest come first: they are the hardest to place.
+    std::stable_sort(needs.begin(), needs.end(), [&](const model_need& a, const model_need& b) {
+        const auto rank = [](const model_need& n) {
+            switch (n.model->priority()) {
+                case schema::priority_high:
+                    return 0;
+                case schema::priority_low:
+                    return 2;
+                default:
+                    return 1;
+            }
+        };
+        if (rank(a) != rank(b)) {
+            return rank(a) < rank(b);
+        }
+        return size_of(w, a.target) > size_of(w, b.target);
+    });
+    return needs;
+}
+
+workspace make_workspace(const schema::document& document, const std::vector<agent_view>& fleet) {
+    workspace w;
+    for (const schema::model& m : document.models()) {
+        w.declared[m.name()] = {&m, document::footprint_mb(m)};
+    }
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const agent_view& view = fleet[i];
+        working_agent a;
+        a.view = &view;
+        a.assigned = {view.assigned.begin(), view.assigned.end()};
+        a.resident = {view.resident.begin(), view.resident.end()};
+        std::set<instance> all = a.assigned;
+        all.insert(a.resident.begin(), a.resident.end());
+        for (const instance& held : all) {
+            a.used_mb += size_of(w, held);
+            w.holders[held.model].insert(i);
+        }
+        w.agents.push_back(std::move(a));
+    }
+    return w;
+}
+
+void collect(workspace& w) {
+    for (const working_agent& a : w.agents) {
+        if (a.changed) {
+            w.out.changes.push_back(
+                {a.view->name, a.view->incarnation, {a.assigned.begin(), a.assigned.end()}});
+        }
+    }
+    for (const model_need& need : w.needs) {
+        if (holders_of(w, need.target.model).empty()) {
+            w.out.unplaced.push_back(need.target.model);
+        }
+    }
+}
+
+bool is_resident(const std::vector<agent_view>& fleet, const std::string& model) {
+    return std::any_of(fleet.begin(), fleet.end(), [&](const agent_view& a) {
+        return std::any_of(a.resident.begin(), a.resident.end(),
+                           [&](const instance& r) { return r.model == model; });
+    });
+}
+
+// Carries out a plan as if every load and unload succeeded: unloads first, then loads.
+std::uint32_t carry_out(const plan_result& p, std::vector<agent_view>& fleet) {
+    std::uint32_t loads = 0;
+    for (const assignment& change : p.changes) {
+        const auto at = std::find_if(fleet.begin(), fleet.end(), [&](const agent_view& a) {
+            return a.name == change.agent;
+        });
+        at->assigned = change.assigned;
+    }
+    for (agent_view& a : fleet) {
+        for (const instance& i : a.assigned) {
+            loads += std::find(a.resident.begin(), a.resident.end(), i) == a.resident.end();
+        }
+        a.resident = a.assigned;
+    }
+    return loads;
+}
+
+std::uint32_t replicas_of(const std::vector<agent_view>& fleet, const instance& target) {
+    return static_cast<std::uint32_t>(
+        std::count_if(fleet.begin(), fleet.end(), [&](const agent_view& a) {
+            return !a.leaving &&
+                   std::find(a.resident.begin(), a.resident.end(), target) != a.resident.end();
+        }));
+}
+
+std::string missing_replicas(const schema::document& d, const std::vector<agent_view>& fleet) {
+    for (const schema::model& m : d.models()) {
+        const std::uint32_t have = replicas_of(fleet, {m.name(), m.version()});
+        if (have < m.min_replicas()) {
+            return "model `" + m.name() + "` needs " + std::to_string(m.min_replicas()) +
+                   " replicas of " + std::to_string(document::footprint_mb(m)) + " MB, " +
+                   std::to_string(have) + " fit";
+        }
+    }
+    return "";
+}
+
+}  // namespace
+
+std::uint32_t wanted_replicas(const schema::model& m, double load, const plan_settings& settings) {
+    const double asked = std::ceil(load / settings.target_utilization);
+    const double bounded = std::clamp(asked, static_cast<double>(m.min_replicas()),
+                                      static_cast<double>(m.max_replicas()));
+    return static_cast<std::uint32_t>(bounded);
+}
+
+plan_result plan(const schema::document& document, const std::vector<agent_view>& fleet,
+                 const demand_by_model& demand, const plan_settings& settings,
+                 planner_state& memory, time_point now) {
+    workspace w = make_workspace(document, fleet);
+    drop_obsolete(w);
+    w.needs = needs_of(document, demand, w, settings, memory, now);
+    for (const model_need& need : w.needs) {
+        raise_to(w, need, 1, true, "every declared model stays reachable");
+    }
+    for (const model_need& need : w.needs) {
+        raise_to(w, need, need.model->min_replicas(), true, "the declared minimum");
+    }
+    for (const model_need& need : w.needs) {
+        raise_to(w, need, need.wanted, false, "demand");
+    }
+    for (const model_need& need : w.needs) {
+        lower_to(w, need);
+    }
+    empty_leaving(w);
+    collect(w);
+    return std::move(w.out);
+}
+
+trial_result try_document(const schema::document& current, const schema::document& next,
+                          std::vector<agent_view> fleet) {
+    trial_result out;
+    planner_state memory;
+    for (int step = 0; step < max_trial_steps; ++step) {
+        const std::vector<agent_view> before = fleet;
+        const plan_result p = plan(next, fleet, {}, {}, memory, time_point{});
+        if (p.changes.empty()) {
+            out.reason = missing_replicas(next, fleet);
+            out.fits = out.reason.empty();
+            return out;
+        }
+        out.loads += carry_out(p, fleet);
+        for (const schema::model& m : next.models()) {
+            const bool served = document::find_model(current, m.name()) != nullptr &&
+                                is_resident(before, m.name());
+            if (served && !is_resident(fleet, m.name())) {
+                out.reason = "model `" + m.name() + "` would be unreachable during the change";
+                return out;
+            }
+        }
+    }
+    out.reason = "the change does not settle within " + std::to_string(max_trial_steps) + " steps";
+    return out;
+}
+
+}  // namespace burdockdeck::placement
