Runtime: loops, logs, spans, metrics, HTTP and gRPC plumbing

Cause: the programs need one thread for control state, others for traffic, and plumbing by library. Ruled out: braced temporaries inside co_await expressions; GCC 12 destroys them twice (a crash in free() in the first run of test_runtime), so arguments of awaited calls are named values. Change: libs/runtime; the planner looks agents up by the set that holds a model.

--- a/cmake/burdockdeck.cmake
+++ b/cmake/burdockdeck.cmake
@@ -4,7 +4,9 @@
 #
 # Each TESTS entry `thing` builds tests/test_thing.cpp as its own doctest program.
 set(BURDOCKDECK_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion
-    -Wnon-virtual-dtor -Wold-style-cast -Werror)
+    -Wnon-virtual-dtor -Wold-style-cast -Werror
+    # GCC 12 misreads the frame allocation of Asio coroutines.
+    -Wno-mismatched-new-delete)
 
 function(burdockdeck_library name)
   cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS;PRIVATE_DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
--- a/libs/placement/src/plan.cpp
+++ b/libs/placement/src/plan.cpp
@@ -139,13 +139,18 @@
         const auto found = domains.find(a.view->failure_domain);
         return found == domains.end() ? 0 : found->second;
     };
+    static const std::set<std::size_t> nobody;
+    const auto found = w.holders.find(target.model);
+    const std::set<std::size_t>& holders = found == w.holders.end() ? nobody : found->second;
+    const std::uint32_t size = size_of(w, target);
     std::optional<std::size_t> best;
     std::tuple<int, int, std::int64_t> best_rank;
     for (std::size_t i = 0; i < w.agents.size(); ++i) {
         const working_agent& a = w.agents[i];
-        const bool resident = a.resident.contains(target);
-        const bool fits = resident || free_mb(a) >= size_of(w, target);
-        if (a.view->leaving || a.assigned.contains(target) || !fits) {
+        const bool holds = holders.contains(i);
+        const bool resident = holds && a.resident.contains(target);
+        const bool fits = resident || free_mb(a) >= size;
+        if (a.view->leaving || !fits || (holds && a.assigned.contains(target))) {
             continue;
         }
         const std::tuple<int, int, std::int64_t> rank{in_domain(a), resident ? 0 : 1,
--- /dev/null
+++ b/libs/runtime/include/runtime/log.h
@@ -0,0 +1,119 @@
+// Logs: one line of key=value pairs for each event, through Boost.Log.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "base/name_table.h"
+
+namespace burdockdeck::runtime {
+
+// Everything that the programs log.
+enum class event {
+    started,
+    stopping,
+    stopped,
+    settings_refused,
+    role_changed,
+    members_changed,
+    cluster_founded,
+    cluster_joined,
+    snapshot_saved,
+    snapshot_installed,
+    storage_failed,
+    torn_tail_cut,
+    isolated,
+    document_in_force,
+    agent_registered,
+    agent_expired,
+    agent_leaving,
+    plan_made,
+    registration_refused,
+    superseded,
+    upstream_announced,
+    upstream_refused,
+    upstream_lost,
+    order_sent,
+    order_done,
+    order_unanswered,
+    inventory_read,
+    watch_opened,
+    watch_lost,
+    request_ended,
+    request_refused,
+    attempt_retried,
+    attempt_resumed,
+    claim_settled,
+    claim_failed,
+    access_refused,
+    share_changed,
+};
+
+inline constexpr name_table<event, 37> event_names{{
+    {event::started, "started"},
+    {event::stopping, "stopping"},
+    {event::stopped, "stopped"},
+    {event::settings_refused, "settings_refused"},
+    {event::role_changed, "role_changed"},
+    {event::members_changed, "members_changed"},
+    {event::cluster_founded, "cluster_founded"},
+    {event::cluster_joined, "cluster_joined"},
+    {event::snapshot_saved, "snapshot_saved"},
+    {event::snapshot_installed, "snapshot_installed"},
+    {event::storage_failed, "storage_failed"},
+    {event::torn_tail_cut, "torn_tail_cut"},
+    {event::isolated, "isolated"},
+    {event::document_in_force, "document_in_force"},
+    {event::agent_registered, "agent_registered"},
+    {event::agent_expired, "agent_expired"},
+    {event::agent_leaving, "agent_leaving"},
+    {event::plan_made, "plan_made"},
+    {event::registration_refused, "registration_refused"},
+    {event::superseded, "superseded"},
+    {event::upstream_announced, "upstream_announced"},
+    {event::upstream_refused, "upstream_refused"},
+    {event::upstream_lost, "upstream_lost"},
+    {event::order_sent, "order_sent"},
+    {event::order_done, "order_done"},
+    {event::order_unanswered, "order_unanswered"},
+    {event::inventory_read, "inventory_read"},
+    {event::watch_opened, "watch_opened"},
+    {event::watch_lost, "watch_lost"},
+    {event::request_ended, "request_ended"},
+    {event::request_refused, "request_refused"},
+    {event::attempt_retried, "attempt_retried"},
+    {event::attempt_resumed, "attempt_resumed"},
+    {event::claim_settled, "claim_settled"},
+    {event::claim_failed, "claim_failed"},
+    {event::access_refused, "access_refused"},
+    {event::share_changed, "share_changed"},
+}};
+
+// One key=value pair. Values with spaces, quotes or equals signs are quoted in the line.
+struct field {
+    std::string_view key;
+    std::string value;
+
+    field(std::string_view k, std::string v) : key(k), value(std::move(v)) {}
+    field(std::string_view k, std::string_view v) : key(k), value(v) {}
+    field(std::string_view k, const char* v) : key(k), value(v) {}
+    field(std::string_view k, std::uint64_t v) : key(k), value(std::to_string(v)) {}
+    field(std::string_view k, std::int64_t v) : key(k), value(std::to_string(v)) {}
+    field(std::string_view k, int v) : key(k), value(std::to_string(v)) {}
+    field(std::string_view k, std::uint32_t v) : key(k), value(std::to_string(v)) {}
+};
+
+enum class severity { debug, info, warning, error };
+
+// Sends log lines to `file`, or to standard error if it is empty. Call once, before any log_event.
+void open_log(const std::string& program, const std::string& file, bool debug);
+
+// Writes one line. Safe from any thread.
+void log_event(severity s, event e, std::initializer_list<field> fields);
+
+// The line that log_event writes, without time and program.
+[[nodiscard]] std::string format_event(event e, std::initializer_list<field> fields);
+
+}  // namespace burdockdeck::runtime
--- /dev/null
+++ b/libs/runtime/include/runtime/metrics.h
@@ -0,0 +1,38 @@
+// Metrics of one program: counters, gauges and latency histograms, given out in Prometheus text.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+
+namespace burdockdeck::runtime {
+
+// All calls are safe from any thread. Names follow Prometheus; `label` is one `key=value` pair, or
+// empty.
+class metrics {
+public:
+    metrics();
+    ~metrics();
+
+    void count(std::string_view name, std::string_view label = "", std::uint64_t by = 1);
+    void set(std::string_view name, double value, std::string_view label = "");
+    // Records one latency; buckets are logarithmic from 10 microseconds to 1,000 seconds.
+    void observe(std::string_view name, duration took, std::string_view label = "");
+
+    // The text exposition format.
+    [[nodiscard]] std::string to_text() const;
+
+private:
+    struct state;
+    std::unique_ptr<state> state_;
+};
+
+// Resident memory of this process, in bytes.
+[[nodiscard]] std::uint64_t resident_bytes();
+// Processor time used by this process.
+[[nodiscard]] duration processor_time();
+
+}  // namespace burdockdeck::runtime
--- /dev/null
+++ b/libs/runtime/include/runtime/rpc.h
@@ -0,0 +1,93 @@
+// gRPC between the system's processes: channels, servers, access, and calls as coroutines.
+#pragma once
+
+#include <grpcpp/grpcpp.h>
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "settings/common.h"
+
+namespace burdockdeck::runtime {
+
+struct rpc_error {
+    // True if the call provably did not reach the other process's handler.
+    bool not_sent = false;
+    std::string message;
+};
+
+// What proves this process to others, and others to it.
+class rpc_access {
+public:
+    // Reads the certificate files named in `from`.
+    [[nodiscard]] static result<rpc_access, settings::settings_error> create(
+        const settings::access_settings& from);
+
+    [[nodiscard]] std::shared_ptr<grpc::ChannelCredentials> channel_credentials() const;
+    [[nodiscard]] std::shared_ptr<grpc::ServerCredentials> server_credentials() const;
+    // Adds the shared key to a call.
+    void sign(grpc::ClientContext& context) const;
+    // True if the call carries the shared key, or no key is set.
+    [[nodiscard]] bool allows(const grpc::CallbackServerContext& context) const;
+
+private:
+    std::string key_;
+    std::string certificate_;
+    std::string private_key_;
+    std::string authority_;
+};
+
+// A new channel with a connection of its own: it shares no subchannel with any earlier one, so that
+// a connection that has gone silent can be left.
+[[nodiscard]] std::shared_ptr<grpc::Channel> open_channel(const std::string& address,
+                                                          const rpc_access& access);
+
+// Starts a server for `services`; the error names the address.
+[[nodiscard]] result<std::unique_ptr<grpc::Server>, rpc_error> start_server(
+    const std::string& address, const rpc_access& access,
+    const std::vector<grpc::Service*>& services);
+
+[[nodiscard]] rpc_error to_error(const grpc::Status& status);
+
+// Awaits one unary call. `start` is called with the context, the request, the reply and the
+// callback, such as stub->async()->submit. Resumes on the loop of `context`.
+template <class Reply, class Request, class Start>
+boost::asio::awaitable<result<Reply, rpc_error>> call_unary(boost::asio::io_context& context,
+                                                            const rpc_access& access,
+                                                            Request request, duration timeout,
+                                                            Start start) {
+    struct call_state {
+        grpc::ClientContext client;
+        Request request;
+        Reply reply;
+    };
+    auto call = std::make_shared<call_state>();
+    call->request = std::move(request);
+    call->client.set_deadline(std::chrono::system_clock::now() +
+                              std::chrono::duration_cast<std::chrono::microseconds>(timeout));
+    access.sign(call->client);
+    const grpc::Status status =
+        co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
+                                             void(grpc::Status)>(
+            [&](auto handler) {
+                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+                start(&call->client, &call->request, &call->reply,
+                      [call, shared, &context](const grpc::Status& s) {
+                          boost::asio::post(context, [shared, s] { (*shared)(s); });
+                      });
+            },
+            boost::asio::use_awaitable);
+    if (!status.ok()) {
+        co_return to_error(status);
+    }
+    co_return std::move(call->reply);
+}
+
+}  // namespace burdockdeck::runtime
--- /dev/null
+++ b/libs/runtime/src/http_client.cpp
@@ -0,0 +1,134 @@
+// The client: kept connections to one endpoint, and streamed answers.
+#include <array>
+
+#include "http_common.h"
+
+namespace burdockdeck::runtime {
+
+namespace {
+
+// Idle connections kept for reuse.
+constexpr std::size_t max_kept = 64;
+constexpr std::size_t read_chunk_bytes = 16 * 1024;
+
+using stream_ptr = std::unique_ptr<beast::tcp_stream>;
+
+http::request<http::string_body> to_beast(http_request& r, const settings::endpoint& to) {
+    http::request<http::string_body> message;
+    message.method_string(r.method);
+    message.target(r.target);
+    message.version(11);
+    message.set(http::field::host, to_text(to));
+    for (const auto& [key, value] : r.headers) {
+        message.set(key, value);
+    }
+    message.body() = std::move(r.body);
+    message.keep_alive(true);
+    message.prepare_payload();
+    return message;
+}
+
+}  // namespace
+
+struct http_client::state {
+    state(loop& l, settings::endpoint e) : on(l), to(std::move(e)) {}
+    loop& on;
+    settings::endpoint to;
+    std::vector<stream_ptr> kept;
+};
+
+http_client::http_client(loop& on, settings::endpoint to)
+    : state_(std::make_shared<state>(on, std::move(to))) {}
+http_client::~http_client() = default;
+
+asio::awaitable<result<nothing, http_error>> http_client::call(http_request request,
+                                                               http_reader reader,
+                                                               http_call_options options) {
+    const std::shared_ptr<state> s = state_;
+    const auto deadline = std::chrono::steady_clock::now() + options.timeout;
+    const auto expire = [&](beast::tcp_stream& stream) {
+        stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + options.silence));
+    };
+    stream_ptr stream;
+    bool reused = false;
+    if (!options.fresh_connection && !s->kept.empty()) {
+        stream = std::move(s->kept.back());
+        s->kept.pop_back();
+        reused = true;
+    } else {
+        stream = std::make_unique<beast::tcp_stream>(s->on.context());
+        expire(*stream);
+        const auto [failed] = co_await stream->async_connect(to_asio(s->to), as_result);
+        if (failed) {
+            co_return http_error{true, "connect to " + to_text(s->to) + ": " + failed.message()};
+        }
+        boost::system::error_code ignored;
+        stream->socket().set_option(tcp::no_delay(true), ignored);
+    }
+    auto message = to_beast(request, s->to);
+    expire(*stream);
+    const auto [write_failed, sent] = co_await http::async_write(*stream, message, as_result);
+    if (write_failed) {
+        co_return http_error{false, "send to " + to_text(s->to) + ": " + write_failed.message() +
+                                        (reused ? " (kept connection)" : "")};
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    parser.body_limit(boost::none);
+    expire(*stream);
+    const auto [head_failed, head_size] =
+        co_await http::async_read_header(*stream, buffer, parser, as_result);
+    if (head_failed) {
+        co_return http_error{false, "read from " + to_text(s->to) + ": " + head_failed.message()};
+    }
+    if (reader.on_head) {
+        reader.on_head(parser.get().result_int(), headers_of(parser.get()));
+    }
+    std::array<char, read_chunk_bytes> chunk{};
+    while (!parser.is_done()) {
+        parser.get().body().data = chunk.data();
+        parser.get().body().size = chunk.size();
+        parser.get().body().more = true;
+        expire(*stream);
+        const auto [failed, size] =
+            co_await http::async_read_some(*stream, buffer, parser, as_result);
+        const std::size_t got = chunk.size() - parser.get().body().size;
+        if (got > 0 && reader.on_body && !reader.on_body({chunk.data(), got})) {
+            co_return http_error{false, "stopped by the reader"};
+        }
+        if (failed && failed != http::error::need_buffer) {
+            co_return http_error{false,
+                                 "answer of " + to_text(s->to) + " cut short: " + failed.message()};
+        }
+    }
+    if (parser.need_eof()) {
+        co_return http_error{false, "answer of " + to_text(s->to) +
+                                        " has neither length nor chunks: its end cannot be told"};
+    }
+    if (parser.get().keep_alive() && s->kept.size() < max_kept && !options.fresh_connection) {
+        stream->expires_never();
+        s->kept.push_back(std::move(stream));
+    }
+    co_return nothing{};
+}
+
+asio::awaitable<result<http_response, http_error>> http_client::fetch(http_request request,
+                                                                      http_call_options options) {
+    http_response response;
+    http_reader reader;
+    reader.on_head = [&](unsigned status, const header_list& headers) {
+        response.status = status;
+        response.headers = headers;
+    };
+    reader.on_body = [&](std::string_view bytes) {
+        response.body += bytes;
+        return true;
+    };
+    auto called = co_await call(std::move(request), reader, options);
+    if (!succeeded(called)) {
+        co_return error(called);
+    }
+    co_return response;
+}
+
+}  // namespace burdockdeck::runtime
--- /dev/null
+++ b/libs/runtime/tests/test_runtime.cpp
@@ -0,0 +1,154 @@
+// Log lines, trace headers, metrics text; HTTP between a server and a client, cut answers included.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "runtime/metrics.h"
+#include "runtime/trace.h"
+
+using namespace burdockdeck;
+using namespace burdockdeck::runtime;
+namespace asio = boost::asio;
+
+namespace {
+
+std::uint16_t free_port() {
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+    return acceptor.local_endpoint().port();
+}
+
+asio::awaitable<void> answer(http_exchange& e) {
+    http_response head;
+    if (e.request().path() == "/stream") {
+        (void)co_await e.begin(head);
+        (void)co_await e.write("one");
+        (void)co_await e.write("two");
+        (void)co_await e.finish();
+    } else if (e.request().path() == "/cut") {
+        (void)co_await e.begin(head);
+        (void)co_await e.write("one");
+    } else {
+        http_response echo;
+        echo.body = e.request().body;
+        (void)co_await e.respond(std::move(echo));
+    }
+}
+
+struct server_fixture {
+    loop_pool loops{"test", 2};
+    settings::endpoint at{"127.0.0.1", free_port()};
+    std::unique_ptr<http_server> server;
+    server_fixture() {
+        http_limits limits;
+        limits.body_bytes = 1000;
+        limits.header_bytes = 1000;
+        auto listening = http_server::listen(at, loops, limits, answer);
+        REQUIRE(succeeded(listening));
+        server = std::move(value(listening));
+    }
+    ~server_fixture() {
+        server->stop_accepting();
+        loops.stop();
+    }
+
+    result<http_response, http_error> fetch(http_request request) {
+        std::promise<result<http_response, http_error>> done;
+        http_client client(*loops.all().front(), at);
+        const http_call_options options;
+        spawn(*loops.all().front(), [&]() -> asio::awaitable<void> {
+            done.set_value(co_await client.fetch(request, options));
+        });
+        return done.get_future().get();
+    }
+
+    std::string raw(const std::string& bytes) {
+        asio::io_context context;
+        asio::ip::tcp::socket socket(context);
+        socket.connect({asio::ip::make_address(at.ip), at.port});
+        asio::write(socket, asio::buffer(bytes));
+        std::string out;
+        boost::system::error_code failed;
+        asio::read(socket, asio::dynamic_buffer(out), failed);
+        return out;
+    }
+};
+
+}  // namespace
+
+TEST_CASE("log lines quote what needs quoting") {
+    CHECK(format_event(event::started, {{"a", 1}, {"b", "x y"}, {"c", "say \"no\""}}) ==
+          "event=started a=1 b=\"x y\" c=\"say \\\"no\\\"\"");
+    for (const auto& [e, name] : event_names) {
+        CHECK(name_in(event_names, e) == name);
+    }
+}
+
+TEST_CASE("trace headers are parsed, passed on and refused when malformed") {
+    const std::string header = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    const auto parent = parse_traceparent(header);
+    REQUIRE(parent);
+    CHECK(to_traceparent(*parent) == header);
+    const trace_context child = child_of(parent);
+    CHECK(child.trace_id == parent->trace_id);
+    CHECK(child.span_id != parent->span_id);
+    CHECK(!parse_traceparent("00-xyz"));
+    CHECK(!parse_traceparent("00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"));
+}
+
+TEST_CASE("metrics come out as Prometheus text") {
+    metrics m;
+    m.count("requests_total", "outcome=completed");
+    m.observe("latency_seconds", std::chrono::milliseconds(3));
+    const std::string text = m.to_text();
+    CHECK(text.find("requests_total{outcome=\"completed\"} 1") != std::string::npos);
+    CHECK(text.find("latency_seconds_count 1") != std::string::npos);
+}
+
+TEST_CASE_FIXTURE(server_fixture, "whole and streamed answers arrive; a cut one is an error") {
+    const auto whole = fetch({"POST", "/", {}, "hello"});
+    REQUIRE(succeeded(whole));
+    CHECK(value(whole).body == "hello");
+    CHECK(value(fetch({"GET", "/stream", {}, ""})).body == "onetwo");
+    const auto cut = fetch({"GET", "/cut", {}, ""});
+    REQUIRE(!succeeded(cut));
+    CHECK(!error(cut).not_sent);
+}
+
+TEST_CASE_FIXTURE(server_fixture, "malformed and oversize requests get clear errors") {
+    CHECK(raw("NONSENSE\r\n\r\n").find(" 400 ") != std::string::npos);
+    CHECK(raw("GET / HTTP/1.1\r\nA: " + std::string(2000, 'x') + "\r\n\r\n").find(" 431 ") !=
+          std::string::npos);
+    const std::string large = raw("POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n");
+    CHECK(large.find(" 413 ") != std::string::npos);
+    CHECK(large.find("not_run") != std::string::npos);
+}
+
+TEST_CASE("a port that is taken is named, and a refused connection counts as not sent") {
+    loop_pool loops("test", 1);
+    const settings::endpoint at{"127.0.0.1", free_port()};
+    {
+        std::promise<bool> not_sent;
+        http_client client(*loops.all().front(), at);
+        spawn(*loops.all().front(), [&]() -> asio::awaitable<void> {
+            const http_request request;
+            const http_call_options options;
+            const auto r = co_await client.fetch(request, options);
+            not_sent.set_value(!succeeded(r) && error(r).not_sent);
+        });
+        CHECK(not_sent.get_future().get());
+    }
+    auto first = http_server::listen(at, loops, {}, answer);
+    REQUIRE(succeeded(first));
+    auto second = http_server::listen(at, loops, {}, answer);
+    REQUIRE(!succeeded(second));
+    CHECK(error(second).message.find(to_text(at)) != std::string::npos);
+    loops.stop();
+}
