Control: replicated log on disk, leases, shares, permits, placement, watches, operators' calls

Cause: the programs need the control group. Permits for the weight store stand in the catalog, since a new leader cannot know what its predecessor granted.

--- a/libs/catalog/src/catalog.cpp
+++ b/libs/catalog/src/catalog.cpp
@@ -287,6 +287,28 @@
     return done(s);
 }
 
+command_reply apply_permit(catalog_state& s, const schema::permit_command& c) {
+    auto& permits = *s.mutable_permits();
+    if (c.release()) {
+        permits.erase(c.order_id());
+        return done(s);
+    }
+    if (permits.contains(c.order_id())) {
+        return done(s);
+    }
+    const agent_record* a = find_incarnation(s, c.agent(), c.incarnation());
+    if (a == nullptr || !a->live()) {
+        return not_that_incarnation(c.agent());
+    }
+    if (permits.size() >= s.current().document().limits().weight_loads_at_once()) {
+        return refused("as many loads as the weight store takes at once are under way");
+    }
+    schema::permit_record& p = permits[c.order_id()];
+    p.set_agent(c.agent());
+    p.set_incarnation(c.incarnation());
+    return done(s);
+}
+
 command_reply dispatch(catalog_state& s, const schema::command& c, mutation broken) {
     switch (c.body_case()) {
         case schema::command::kTrial:
@@ -311,6 +333,8 @@
             return apply_expire_claims(s, c.expire_claims());
         case schema::command::kShare:
             return apply_share(s, c.share());
+        case schema::command::kPermit:
+            return apply_permit(s, c.permit());
         default:
             return refused("this version does not know the command");
     }
--- a/libs/catalog/tests/test_catalog.cpp
+++ b/libs/catalog/tests/test_catalog.cpp
@@ -233,6 +233,29 @@
     }
 }
 
+TEST_CASE("permits for the weight store never exceed the loads it takes at once") {
+    catalog_state s = fresh_state();
+    schema::document d = document_of("1", "m");
+    d.mutable_limits()->set_weight_loads_at_once(3);
+    (void)catalog::apply(s, promotion(d, trial(s, d, "t").proof_id(), "p"));
+    join(s, "a", 1);
+    std::mt19937_64 rng(6);
+    for (int step = 0; step < 300; ++step) {
+        command c;
+        c.mutable_permit()->set_order_id("o" + std::to_string(rng() % 8));
+        c.mutable_permit()->set_agent("a");
+        c.mutable_permit()->set_incarnation(1);
+        c.mutable_permit()->set_release(rng() % 3 == 0);
+        const bool held = s.permits().contains(c.permit().order_id());
+        const std::size_t before = s.permits().size();
+        const auto reply = catalog::apply(s, c);
+        CHECK(s.permits().size() <= 3);
+        if (!c.permit().release()) {
+            CHECK((reply.status() == schema::status_done) == (held || before < 3));
+        }
+    }
+}
+
 TEST_CASE("updates since any revision rebuild the same table") {
     catalog_state s = fresh_state();
     std::mt19937_64 rng(9);
--- /dev/null
+++ b/libs/client/src/control_client.cpp
@@ -0,0 +1,281 @@
+// Failover among control instances, and the watch stream.
+#include "client/control_client.h"
+
+#include <boost/asio/post.hpp>
+#include <random>
+
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "services.grpc.pb.h"
+
+namespace burdockdeck::client {
+
+namespace {
+
+namespace asio = boost::asio;
+using runtime::rpc_error;
+
+constexpr duration call_timeout = std::chrono::milliseconds(1500);
+constexpr duration pause_between_tries = std::chrono::milliseconds(100);
+// Control sends something at least every second.
+constexpr duration watch_silence = std::chrono::milliseconds(2500);
+constexpr duration watch_check_interval = std::chrono::milliseconds(250);
+
+// One open watch. Its callbacks run on gRPC threads and post to the loop.
+class watch_call : public grpc::ClientReadReactor<schema::table_update>,
+                   public std::enable_shared_from_this<watch_call> {
+public:
+    std::function<void(schema::table_update)> on_update;
+    std::function<void(std::string)> on_end;
+    grpc::ClientContext context;
+    rpc::watch_request request;
+
+    void start(rpc::control::Stub& stub) {
+        self_ = shared_from_this();
+        stub.async()->watch(&context, &request, this);
+        StartRead(&update_);
+        StartCall();
+    }
+
+    void OnReadDone(bool ok) override {
+        if (!ok) {
+            return;
+        }
+        on_update(update_);
+        StartRead(&update_);
+    }
+
+    void OnDone(const grpc::Status& status) override {
+        on_end(status.error_message());
+        self_.reset();
+    }
+
+private:
+    schema::table_update update_;
+    std::shared_ptr<watch_call> self_;
+};
+
+}  // namespace
+
+struct control_client::state : std::enable_shared_from_this<control_client::state> {
+    struct instance {
+        std::string address;
+        std::shared_ptr<grpc::Channel> channel;
+        std::unique_ptr<rpc::control::Stub> stub;
+    };
+
+    state(runtime::loop& l, runtime::rpc_access a) : on(l), access(std::move(a)) {}
+
+    runtime::loop& on;
+    runtime::rpc_access access;
+    std::vector<instance> instances;
+    std::size_t preferred = 0;
+    std::string name;
+    table current;
+    std::function<void(const table&)> changed;
+    std::shared_ptr<watch_call> watching;
+    std::uint64_t watch_serial = 0;
+    std::size_t watch_index = 0;
+    time_point watch_heard{};
+    bool watch_confirmed = false;
+    bool stopped = false;
+
+    rpc::control::Stub& stub(std::size_t index) {
+        instance& i = instances[index];
+        if (i.stub == nullptr) {
+            i.channel = runtime::open_channel(i.address, access);
+            i.stub = rpc::control::NewStub(i.channel);
+        }
+        return *i.stub;
+    }
+
+    // Leaves an instance's connection, which may have gone silent, and prefers the next instance.
+    void leave(std::size_t index) {
+        instances[index].stub.reset();
+        instances[index].channel.reset();
+        if (preferred == index) {
+            preferred = (preferred + 1) % instances.size();
+        }
+    }
+
+    void open_watch() {
+        if (stopped) {
+            return;
+        }
+        const std::uint64_t serial = ++watch_serial;
+        watch_index = preferred;
+        watch_heard = std::chrono::steady_clock::now();
+        watch_confirmed = false;
+        auto call = std::make_shared<watch_call>();
+        access.sign(call->context);
+        call->request.set_name(name);
+        call->request.set_known_revision(current.revision);
+        call->request.set_cluster(current.cluster);
+        auto self = shared_from_this();
+        call->on_update = [self, serial](schema::table_update update) {
+            asio::post(self->on.context(), [self, serial, update = std::move(update)] {
+                if (serial == self->watch_serial) {
+                    self->take_update(update);
+                }
+            });
+        };
+        call->on_end = [self, serial](std::string why) {
+            asio::post(self->on.context(), [self, serial, why = std::move(why)] {
+                if (serial == self->watch_serial) {
+                    self->lose_watch(why);
+                }
+            });
+        };
+        watching = call;
+        call->start(stub(watch_index));
+    }
+
+    void take_update(const schema::table_update& update) {
+        watch_heard = std::chrono::steady_clock::now();
+        if (!watch_confirmed) {
+            watch_confirmed = true;
+            runtime::log_event(runtime::severity::info, runtime::event::watch_opened,
+                               {{"control", instances[watch_index].address},
+                                {"revision", update.revision()}});
+        }
+        const std::uint64_t document_before = current.current.revision();
+        switch (apply(current, update)) {
+            case update_effect::applied:
+                if (current.current.revision() != document_before) {
+                    runtime::log_event(runtime::severity::info, runtime::event::document_in_force,
+                                       {{"label", current.current.document().label()},
+                                        {"revision", current.current.revision()}});
+                }
+                changed(current);
+                break;
+            case update_effect::unchanged:
+                break;
+            case update_effect::refused_older:
+                lose_watch("offers an older revision than the one in force");
+                break;
+            case update_effect::refused_mismatch:
+                lose_watch("offers the table of another cluster or base");
+                break;
+        }
+    }
+
+    void lose_watch(const std::string& why) {
+        runtime::log_event(
+            runtime::severity::info, runtime::event::watch_lost,
+            {{"control", instances[watch_index].address}, {"reason", why}});
+        ++watch_serial;
+        if (watching) {
+            watching->context.TryCancel();
+            watching.reset();
+        }
+        leave(watch_index);
+    }
+
+    // Opens the watch again when it was lost, and leaves one that has gone silent.
+    asio::awaitable<void> keep_watching() {
+        const auto self = shared_from_this();
+        while (!stopped) {
+            if (!watching) {
+                open_watch();
+            } else if (std::chrono::steady_clock::now() - watch_heard > watch_silence) {
+                lose_watch("silent");
+            }
+            co_await runtime::sleep_for(watch_check_interval);
+        }
+    }
+};
+
+control_client::control_client(runtime::loop& on, std::vector<settings::endpoint> control,
+                               runtime::rpc_access access)
+    : state_(std::make_shared<state>(on, std::move(access))) {
+    for (const settings::endpoint& e : control) {
+        state_->instances.push_back({to_text(e), nullptr, nullptr});
+    }
+    // Clients spread over the instances.
+    std::random_device device;
+    state_->preferred = device() % state_->instances.size();
+}
+
+control_client::~control_client() = default;
+
+asio::awaitable<result<schema::command_reply, rpc_error>> control_client::submit(
+    schema::command command, duration timeout) {
+    const std::shared_ptr<state> s = state_;
+    const time_point deadline = std::chrono::steady_clock::now() + timeout;
+    rpc_error last{true, "no control instance answered in time"};
+    bool sent = false;
+    while (std::chrono::steady_clock::now() < deadline && !s->stopped) {
+        const std::size_t index = s->preferred;
+        rpc::submit_request request;
+        *request.mutable_command() = command;
+        rpc::control::Stub* stub = &s->stub(index);
+        const auto start = [stub](auto... arguments) { stub->async()->submit(arguments...); };
+        auto answer = co_await runtime::call_unary<rpc::submit_reply>(
+            s->on.context(), s->access, std::move(request), call_timeout, start);
+        if (!succeeded(answer)) {
+            last = error(answer);
+            sent = sent || !last.not_sent;
+            s->leave(index);
+        } else if (value(answer).status() == rpc::submit_reply::applied) {
+            co_return value(answer).reply();
+        } else {
+            sent = sent || value(answer).status() == rpc::submit_reply::fate_unknown;
+            last.message = "no leader";
+            s->preferred = (index + 1) % s->instances.size();
+        }
+        co_await runtime::sleep_for(pause_between_tries);
+    }
+    last.not_sent = !sent;
+    co_return last;
+}
+
+asio::awaitable<result<rpc::renew_reply, rpc_error>> control_client::renew(
+    rpc::renew_request request) {
+    const std::shared_ptr<state> s = state_;
+    const std::size_t index = s->preferred;
+    rpc::control::Stub* stub = &s->stub(index);
+    const auto start = [stub](auto... arguments) { stub->async()->renew(arguments...); };
+    auto answer = co_await runtime::call_unary<rpc::renew_reply>(
+        s->on.context(), s->access, std::move(request), call_timeout, start);
+    if (!succeeded(answer)) {
+        s->leave(index);
+    } else if (value(answer).status() == rpc::renew_reply::no_leader) {
+        s->preferred = (index + 1) % s->instances.size();
+    }
+    co_return answer;
+}
+
+asio::awaitable<result<rpc::permit_reply, rpc_error>> control_client::permit(
+    rpc::permit_request request) {
+    const std::shared_ptr<state> s = state_;
+    const std::size_t index = s->preferred;
+    rpc::control::Stub* stub = &s->stub(index);
+    const auto start = [stub](auto... arguments) { stub->async()->permit(arguments...); };
+    auto answer = co_await runtime::call_unary<rpc::permit_reply>(
+        s->on.context(), s->access, std::move(request), call_timeout, start);
+    if (!succeeded(answer)) {
+        s->leave(index);
+    }
+    co_return answer;
+}
+
+void control_client::watch(const std::string& name, std::function<void(const table&)> changed) {
+    state_->name = name;
+    state_->changed = std::move(changed);
+    runtime::spawn(state_->on, [s = state_] { return s->keep_watching(); });
+}
+
+const table& control_client::current() const {
+    return state_->current;
+}
+
+void control_client::stop() {
+    state_->stopped = true;
+    ++state_->watch_serial;
+    if (state_->watching) {
+        state_->watching->context.TryCancel();
+        state_->watching.reset();
+    }
+}
+
+}  // namespace burdockdeck::client
--- /dev/null
+++ b/libs/control/include/control/server.h
@@ -0,0 +1,34 @@
+// One control instance: the replicated log, the fleet's state, and the services for peers, entries,
+// agents and operators.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "control/settings.h"
+
+namespace burdockdeck::control {
+
+struct control_error {
+    std::string message;
+};
+
+class control_server {
+public:
+    // Opens the data folder and starts to serve. `failed` is called if the disk fails later.
+    [[nodiscard]] static result<std::unique_ptr<control_server>, control_error> create(
+        const control_settings& settings, std::function<void()> failed);
+    ~control_server();
+
+    // Ends watches and calls in hand, then calls `finished`.
+    void stop(std::function<void()> finished);
+
+private:
+    struct state;
+    explicit control_server(std::unique_ptr<state> s);
+    std::unique_ptr<state> state_;
+};
+
+}  // namespace burdockdeck::control
--- /dev/null
+++ b/libs/control/src/control_service.cpp
@@ -0,0 +1,331 @@
+// What entries, agents and operators ask of control. An instance that is not the leader passes on
+// what only the leader can answer.
+#include "catalog/catalog.h"
+#include "document/document.h"
+#include "placement/plan.h"
+#include "replace.h"
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "services.h"
+#include "status.h"
+#include "unary.h"
+#include "watcher.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+constexpr duration forward_timeout = std::chrono::milliseconds(1200);
+
+// Why a trial's document does not fit the fleet as it stands; empty if it does.
+std::string misfit(const instance& i, const schema::document& next) {
+    const placement::trial_result t =
+        placement::try_document(i.raft->state().current().document(), next,
+                                agent_views(i.raft->state()));
+    return t.fits ? "" : t.reason;
+}
+
+class control_service : public rpc::control::CallbackService {
+public:
+    explicit control_service(instance& i) : instance_(i) {}
+
+    grpc::ServerUnaryReactor* submit(grpc::CallbackServerContext* context,
+                                     const rpc::submit_request* request,
+                                     rpc::submit_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            if (instance_.raft->is_leader()) {
+                submit_here(*request, *reply, reactor);
+                return;
+            }
+            reply->set_leader_address(instance_.raft->leader_address());
+            reply->set_status(rpc::submit_reply::not_leader);
+            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
+            if (leader == nullptr) {
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+            forward<rpc::submit_reply>(
+                *request, reactor,
+                [leader](auto... arguments) { leader->async()->submit(arguments...); },
+                [reply](result<rpc::submit_reply, runtime::rpc_error> answer) {
+                    if (succeeded(answer)) {
+                        *reply = std::move(value(answer));
+                    } else {
+                        reply->set_status(rpc::submit_reply::fate_unknown);
+                    }
+                });
+        });
+    }
+
+    grpc::ServerUnaryReactor* renew(grpc::CallbackServerContext* context,
+                                    const rpc::renew_request* request,
+                                    rpc::renew_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            instance_.metrics.count("burdockdeck_renewals_total");
+            if (instance_.raft->is_leader()) {
+                *reply = control::renew(instance_.leader_fleet, instance_.raft->state(), *request,
+                                        std::chrono::steady_clock::now());
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+            reply->set_status(rpc::renew_reply::no_leader);
+            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
+            if (leader == nullptr) {
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+            forward<rpc::renew_reply>(
+                *request, reactor,
+                [leader](auto... arguments) { leader->async()->renew(arguments...); },
+                [reply](result<rpc::renew_reply, runtime::rpc_error> answer) {
+                    if (succeeded(answer)) {
+                        *reply = std::move(value(answer));
+                    }
+                });
+        });
+    }
+
+    grpc::ServerUnaryReactor* permit(grpc::CallbackServerContext* context,
+                                     const rpc::permit_request* request,
+                                     rpc::permit_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            reply->set_retry_after_ms(default_retry_ms);
+            if (instance_.raft->is_leader()) {
+                permit_here(*request, *reply, reactor);
+                return;
+            }
+            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
+            if (leader == nullptr) {
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+            forward<rpc::permit_reply>(
+                *request, reactor,
+                [leader](auto... arguments) { leader->async()->permit(arguments...); },
+                [reply](result<rpc::permit_reply, runtime::rpc_error> answer) {
+                    if (succeeded(answer)) {
+                        *reply = std::move(value(answer));
+                    }
+                });
+        });
+    }
+
+    grpc::ServerWriteReactor<schema::table_update>* watch(
+        grpc::CallbackServerContext* context, const rpc::watch_request* request) override {
+        const bool same_cluster = request->known_revision() > 0;
+        auto w = std::make_shared<watcher>(same_cluster ? request->known_revision() : 0);
+        w->keep_alive(w);
+        if (!instance_.access.allows(*context)) {
+            w->on_end = [] {};
+            w->end(grpc::Status(grpc::StatusCode::UNAUTHENTICATED,
+                                "the shared key is missing or wrong"));
+            return w.get();
+        }
+        const std::weak_ptr<watcher> weak = w;
+        w->on_end = [this, weak] {
+            if (const auto ended = weak.lock()) {
+                instance_.loop.post([this, ended] { instance_.watchers.erase(ended); });
+            }
+        };
+        w->on_idle = [this] {
+            instance_.loop.post([this] { update_watchers(instance_); });
+        };
+        instance_.loop.post([this, w] { open_watch(w); });
+        return w.get();
+    }
+
+    grpc::ServerUnaryReactor* status(grpc::CallbackServerContext* context,
+                                     const rpc::status_request* request,
+                                     rpc::status_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            fill_status(instance_, *reply);
+            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
+            if (leader == nullptr) {
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+            forward<rpc::status_reply>(
+                *request, reactor,
+                [leader](auto... arguments) { leader->async()->status(arguments...); },
+                [reply](result<rpc::status_reply, runtime::rpc_error> answer) {
+                    if (succeeded(answer)) {
+                        *reply = std::move(value(answer));
+                    }
+                });
+        });
+    }
+
+    grpc::ServerUnaryReactor* explain(grpc::CallbackServerContext* context,
+                                      const rpc::explain_request* request,
+                                      rpc::explain_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            fill_explain(instance_, request->model(), *reply);
+            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
+            if (leader == nullptr) {
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+            forward<rpc::explain_reply>(
+                *request, reactor,
+                [leader](auto... arguments) { leader->async()->explain(arguments...); },
+                [reply](result<rpc::explain_reply, runtime::rpc_error> answer) {
+                    if (succeeded(answer)) {
+                        *reply = std::move(value(answer));
+                    }
+                });
+        });
+    }
+
+    grpc::ServerUnaryReactor* replace(grpc::CallbackServerContext* context,
+                                      const rpc::replace_request* request,
+                                      rpc::replace_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            replace_member(instance_, *request, [reply, reactor](rpc::replace_reply answer) {
+                *reply = std::move(answer);
+                reactor->Finish(grpc::Status::OK);
+            });
+        });
+    }
+
+private:
+    static constexpr std::uint32_t default_retry_ms = 300;
+
+    // Passes a call on to the leader and finishes it with what `take` makes of the answer.
+    template <class Reply, class Request, class Start, class Take>
+    void forward(const Request& request, grpc::ServerUnaryReactor* reactor, Start start, Take take) {
+        Request passed = request;
+        passed.set_forwarded(true);
+        runtime::spawn(instance_.loop, [this, passed, reactor, start,
+                                        take]() -> boost::asio::awaitable<void> {
+            Request copy = passed;
+            auto answer = co_await runtime::call_unary<Reply>(instance_.loop.context(),
+                                                              instance_.access, std::move(copy),
+                                                              forward_timeout, start);
+            if (!succeeded(answer)) {
+                // The connection may have gone silent; the next call opens another.
+                instance_.leader_stubs.clear();
+            }
+            take(std::move(answer));
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    void submit_here(const rpc::submit_request& request, rpc::submit_reply& reply,
+                     grpc::ServerUnaryReactor* reactor) {
+        const schema::command& command = request.command();
+        if (command.has_trial()) {
+            const std::string why = misfit(instance_, command.trial().document());
+            if (!why.empty()) {
+                reply.set_status(rpc::submit_reply::applied);
+                reply.mutable_reply()->set_status(schema::status_refused);
+                reply.mutable_reply()->set_message("the document does not fit: " + why);
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+        }
+        instance_.raft->submit(command, [this, command, &reply, reactor](
+                                            submit_fate fate, schema::command_reply answer) {
+            note_command(command, fate, answer);
+            *reply.mutable_reply() = std::move(answer);
+            switch (fate) {
+                case submit_fate::applied:
+                    reply.set_status(rpc::submit_reply::applied);
+                    break;
+                case submit_fate::not_leader:
+                    reply.set_status(rpc::submit_reply::not_leader);
+                    break;
+                case submit_fate::unknown:
+                    reply.set_status(rpc::submit_reply::fate_unknown);
+                    break;
+            }
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    // Operators' and members' commands leave a line in the events.
+    void note_command(const schema::command& command, submit_fate fate,
+                      const schema::command_reply& answer) {
+        if (fate != submit_fate::applied || answer.status() != schema::status_done) {
+            return;
+        }
+        fleet& f = instance_.leader_fleet;
+        if (command.has_promote()) {
+            note_event(f, "document " + command.promote().document().label() +
+                              " promoted at revision " + std::to_string(answer.revision()));
+        } else if (command.has_register_agent()) {
+            const auto& r = command.register_agent().registration();
+            log_event(severity::info, event::agent_registered,
+                      {{"agent", r.name()}, {"incarnation", r.incarnation()}});
+            note_event(f, "agent " + r.name() + ": registered");
+            f.leases[r.name()] = {r.incarnation(), std::chrono::steady_clock::now(), 0, 0, 0};
+        } else if (command.has_leaving()) {
+            log_event(severity::info, event::agent_leaving, {{"agent", command.leaving().agent()}});
+            note_event(f, "agent " + command.leaving().agent() +
+                              (command.leaving().leaving() ? ": leaving" : ": back in service"));
+        }
+    }
+
+    void permit_here(const rpc::permit_request& request, rpc::permit_reply& reply,
+                     grpc::ServerUnaryReactor* reactor) {
+        schema::command command;
+        schema::permit_command& p = *command.mutable_permit();
+        p.set_order_id(request.order_id());
+        p.set_agent(request.agent());
+        p.set_incarnation(request.incarnation());
+        p.set_release(request.release());
+        fleet& f = instance_.leader_fleet;
+        const std::uint32_t lease_ms =
+            static_cast<std::uint32_t>(to_milliseconds(f.settings.permit_lease));
+        if (!request.release()) {
+            const permit_answer answer =
+                decide_permit(f, instance_.raft->state(), request.order_id(),
+                              std::chrono::steady_clock::now());
+            if (answer.decision == permit_decision::wait) {
+                reply.set_retry_after_ms(
+                    static_cast<std::uint32_t>(to_milliseconds(answer.retry_after) + 1));
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+            if (answer.decision == permit_decision::granted) {
+                reply.set_granted(true);
+                reply.set_lease_ms(lease_ms);
+                reactor->Finish(grpc::Status::OK);
+                return;
+            }
+        }
+        instance_.raft->submit(command, [&reply, reactor, lease_ms](submit_fate fate,
+                                                                   schema::command_reply answer) {
+            reply.set_granted(fate == submit_fate::applied &&
+                              answer.status() == schema::status_done);
+            reply.set_lease_ms(lease_ms);
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    // A fresh read first: a lagging or isolated instance must not hand out an old table.
+    void open_watch(const std::shared_ptr<watcher>& w) {
+        instance_.raft->read_barrier([this, w](bool fresh) {
+            if (!fresh || instance_.stopping) {
+                w->end(grpc::Status(grpc::StatusCode::UNAVAILABLE, "isolated: no leader in contact"));
+                return;
+            }
+            instance_.watchers.insert(w);
+            w->send(catalog::table_since(instance_.raft->state(),
+                                         instance_.raft->identity().cluster(), w->known()));
+        });
+    }
+
+    instance& instance_;
+};
+
+}  // namespace
+
+std::unique_ptr<grpc::Service> make_control_service(instance& i) {
+    return std::make_unique<control_service>(i);
+}
+
+}  // namespace burdockdeck::control
--- /dev/null
+++ b/libs/control/src/peer_service.cpp
@@ -0,0 +1,82 @@
+// What control instances ask of each other: messages of the log, identity, founding, read index.
+#include "runtime/log.h"
+#include "services.h"
+#include "unary.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+class peer_service : public rpc::control_peer::CallbackService {
+public:
+    explicit peer_service(instance& i) : instance_(i) {}
+
+    grpc::ServerUnaryReactor* deliver(grpc::CallbackServerContext* context,
+                                      const schema::raft_message* request,
+                                      rpc::acknowledgement*) override {
+        return on_loop(instance_, context, [this, request](auto* reactor) {
+            instance_.raft->receive(*request);
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    grpc::ServerUnaryReactor* identify(grpc::CallbackServerContext* context,
+                                       const rpc::identify_request*,
+                                       rpc::identify_reply* reply) override {
+        return on_loop(instance_, context, [this, reply](auto* reactor) {
+            *reply->mutable_identity() = instance_.raft->identity();
+            reply->set_name(instance_.settings.name);
+            reply->set_address(to_text(instance_.settings.listen));
+            reply->set_failure_domain(instance_.settings.failure_domain);
+            reply->set_founded(instance_.raft->node() != nullptr);
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    grpc::ServerUnaryReactor* found(grpc::CallbackServerContext* context,
+                                    const rpc::found_request* request,
+                                    rpc::found_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            answer_found(*request, *reply);
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    grpc::ServerUnaryReactor* read_index(grpc::CallbackServerContext* context,
+                                         const rpc::read_index_request*,
+                                         rpc::read_index_reply* reply) override {
+        return on_loop(instance_, context, [this, reply](auto* reactor) {
+            instance_.raft->confirm_index([reply, reactor](bool confirmed, std::uint64_t index) {
+                reply->set_leader(confirmed);
+                reply->set_index(index);
+                reactor->Finish(grpc::Status::OK);
+            });
+        });
+    }
+
+private:
+    void answer_found(const rpc::found_request& request, rpc::found_reply& reply) {
+        const bool resent = !request.operation_id().empty() &&
+                            request.operation_id() == instance_.founding_operation;
+        if (!resent) {
+            const auto founded = instance_.raft->found(request);
+            if (!succeeded(founded)) {
+                reply.set_message(error(founded));
+                return;
+            }
+            instance_.founding_operation = request.operation_id();
+        }
+        reply.set_done(true);
+        reply.set_cluster(instance_.raft->identity().cluster());
+    }
+
+    instance& instance_;
+};
+
+}  // namespace
+
+std::unique_ptr<grpc::Service> make_peer_service(instance& i) {
+    return std::make_unique<peer_service>(i);
+}
+
+}  // namespace burdockdeck::control
--- /dev/null
+++ b/libs/control/src/raft_host.cpp
@@ -0,0 +1,543 @@
+// Rounds of the consensus node against disk and network.
+#include "raft_host.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "catalog/catalog.h"
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "runtime/trace.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+// A peer that leaves messages unanswered for this long gets a new connection.
+constexpr duration link_silence = std::chrono::milliseconds(1200);
+constexpr duration deliver_timeout = std::chrono::milliseconds(2000);
+constexpr duration read_index_timeout = std::chrono::milliseconds(1500);
+// Messages under way to one peer; more are dropped, and sent again by the protocol.
+constexpr std::uint32_t max_in_flight = 256;
+// Entries kept in memory behind a snapshot, for followers that lag a little.
+constexpr std::uint64_t kept_entries = 500;
+
+consensus::timing timing_of(const control_settings& s) {
+    consensus::timing t;
+    t.heartbeat = s.heartbeat;
+    t.election_min = s.election_min;
+    t.election_max = s.election_max;
+    return t;
+}
+
+time_point now() {
+    return std::chrono::steady_clock::now();
+}
+
+}  // namespace
+
+raft_host::raft_host(runtime::loop& on, const control_settings& settings,
+                     runtime::rpc_access access, runtime::metrics& metrics,
+                     std::unique_ptr<storage::store> store, storage::contents found)
+    : on_(on),
+      settings_(settings),
+      access_(std::move(access)),
+      metrics_(metrics),
+      store_(std::move(store)),
+      rng_(std::random_device{}()),
+      timer_(on.context()) {
+    if (!store_->identity().cluster().empty()) {
+        start_node(found);
+    }
+}
+
+raft_host::~raft_host() = default;
+
+const schema::catalog_state& raft_host::state() const {
+    return state_;
+}
+
+const schema::identity& raft_host::identity() const {
+    return store_->identity();
+}
+
+const consensus::node* raft_host::node() const {
+    return node_ ? &*node_ : nullptr;
+}
+
+bool raft_host::is_leader() const {
+    return node_ && node_->current_role == consensus::role::leader && !storage_failed_;
+}
+
+bool raft_host::isolated() const {
+    return !node_ || storage_failed_ || !consensus::in_contact(*node_, now());
+}
+
+std::string raft_host::address_of(consensus::node_id id) const {
+    const schema::configuration& members = consensus::members_of(*node_);
+    for (const auto* group : {&members.voters(), &members.outgoing(), &members.learners()}) {
+        for (const schema::control_member& m : *group) {
+            if (m.id() == id) {
+                return m.address();
+            }
+        }
+    }
+    const auto learned = learned_addresses_.find(id);
+    return learned == learned_addresses_.end() ? "" : learned->second;
+}
+
+std::string raft_host::leader_address() const {
+    return node_ && node_->leader != 0 ? address_of(node_->leader) : "";
+}
+
+std::string raft_host::leader_name() const {
+    if (!node_) {
+        return "";
+    }
+    for (const schema::control_member& m : consensus::members_of(*node_).voters()) {
+        if (m.id() == node_->leader) {
+            return m.name();
+        }
+    }
+    return "";
+}
+
+void raft_host::start_node(const storage::contents& found) {
+    const consensus::restored_state restored{found.hard, found.snapshot, found.entries};
+    node_ = consensus::create(store_->identity().node_id(), store_->identity().cluster(),
+                              timing_of(settings_), restored, now(), rng_);
+    if (found.snapshot.index() > 0) {
+        state_.ParseFromString(found.snapshot.state());
+        applied_ = found.snapshot.index();
+    }
+    schedule_round();
+}
+
+result<nothing, storage::storage_error> raft_host::join(const std::string& cluster) {
+    auto joined = store_->join_cluster(cluster);
+    if (!succeeded(joined)) {
+        return joined;
+    }
+    start_node({});
+    log_event(severity::info, event::cluster_joined, {{"cluster", cluster}});
+    return nothing{};
+}
+
+void raft_host::receive(const schema::raft_message& message) {
+    if (stopped_ || storage_failed_ || message.to() != store_->identity().node_id()) {
+        return;
+    }
+    learned_addresses_[message.from()] = message.from_address();
+    // Only a cluster that was told of this very identity addresses it.
+    if (!node_ && !succeeded(join(message.cluster()))) {
+        return;
+    }
+    consensus::step(*node_, message, now(), rng_);
+    schedule_round();
+}
+
+result<nothing, std::string> raft_host::found(const rpc::found_request& request) {
+    if (node_) {
+        return "this instance belongs to cluster " + store_->identity().cluster() + " already";
+    }
+    schema::snapshot first;
+    first.set_index(1);
+    first.set_term(1);
+    bool named = false;
+    for (const schema::control_member& m : request.members()) {
+        *first.mutable_members()->add_voters() = m;
+        named = named || m.id() == store_->identity().node_id();
+    }
+    if (!named || request.environment().empty()) {
+        return std::string("the members must name this instance, and the environment must be set");
+    }
+    schema::catalog_state empty;
+    empty.set_environment(request.environment());
+    first.set_state(empty.SerializeAsString());
+    schema::hard_state hard;
+    hard.set_term(1);
+    // The snapshot counts only once the identity names a cluster, so the pair is atomic.
+    auto saved = store_->save_snapshot(first, hard, {});
+    if (!succeeded(saved)) {
+        return error(saved).message;
+    }
+    const std::string cluster = runtime::random_hex(16);
+    auto joined = store_->join_cluster(cluster);
+    if (!succeeded(joined)) {
+        return error(joined).message;
+    }
+    storage::contents found;
+    found.hard = hard;
+    found.snapshot = first;
+    start_node(found);
+    log_event(severity::info, event::cluster_founded,
+              {{"cluster", cluster}, {"environment", request.environment()}});
+    return nothing{};
+}
+
+void raft_host::submit(schema::command command, submit_callback done) {
+    if (!is_leader()) {
+        done(submit_fate::not_leader, {});
+        return;
+    }
+    command.set_at_ms(static_cast<std::uint64_t>(runtime::wall_clock_ns() / 1'000'000));
+    const auto index = consensus::propose(*node_, command.SerializeAsString());
+    if (!succeeded(index)) {
+        done(submit_fate::not_leader, {});
+        return;
+    }
+    submits_[value(index)] = {node_->term, std::move(done)};
+    proposals_waiting_ = true;
+    schedule_round();
+}
+
+void raft_host::confirm_index(std::function<void(bool, std::uint64_t)> done) {
+    if (!is_leader()) {
+        done(false, 0);
+        return;
+    }
+    const std::uint64_t context = ++read_context_;
+    const auto asked = consensus::request_read(*node_, context);
+    if (!succeeded(asked)) {
+        done(false, 0);
+        return;
+    }
+    reads_[context] = std::move(done);
+    proposals_waiting_ = true;
+    schedule_round();
+}
+
+void raft_host::read_barrier(read_callback done) {
+    if (!node_) {
+        done(false);
+        return;
+    }
+    const auto wait_for = [this, done](bool confirmed, std::uint64_t index) {
+        if (!confirmed) {
+            done(false);
+        } else if (applied_ >= index) {
+            done(true);
+        } else {
+            waiting_reads_.push_back({index, done});
+        }
+    };
+    if (is_leader()) {
+        confirm_index(wait_for);
+        return;
+    }
+    peer_link* link = node_->leader == 0 ? nullptr : link_to(node_->leader);
+    if (link == nullptr) {
+        done(false);
+        return;
+    }
+    rpc::control_peer::Stub* stub = link->stub.get();
+    runtime::spawn(on_, [this, stub, wait_for,
+                         alive = alive_]() -> boost::asio::awaitable<void> {
+        const auto start = [stub](auto... arguments) { stub->async()->read_index(arguments...); };
+        rpc::read_index_request request;
+        auto answer = co_await runtime::call_unary<rpc::read_index_reply>(
+            on_.context(), access_, std::move(request), read_index_timeout, start);
+        if (*alive) {
+            const bool confirmed = succeeded(answer) && value(answer).leader();
+            wait_for(confirmed, confirmed ? value(answer).index() : 0);
+        }
+    });
+}
+
+result<nothing, consensus::change_error> raft_host::add_learner(
+    const schema::control_member& member) {
+    auto added = consensus::add_learner(*node_, member);
+    proposals_waiting_ = true;
+    schedule_round();
+    return added;
+}
+
+result<nothing, consensus::change_error> raft_host::replace_voter(consensus::node_id lost,
+                                                                  consensus::node_id fresh) {
+    auto replaced = consensus::replace_voter(*node_, lost, fresh);
+    proposals_waiting_ = true;
+    schedule_round();
+    return replaced;
+}
+
+void raft_host::stop() {
+    stopped_ = true;
+    *alive_ = false;
+    timer_.cancel();
+}
+
+// Many events share one round, so that one sync and one broadcast serve them all.
+void raft_host::schedule_round() {
+    if (round_scheduled_ || stopped_) {
+        return;
+    }
+    round_scheduled_ = true;
+    boost::asio::post(on_.context(), [this, alive = alive_] {
+        if (*alive) {
+            round_scheduled_ = false;
+            run_round();
+        }
+    });
+}
+
+void raft_host::run_round() {
+    if (!node_ || storage_failed_) {
+        return;
+    }
+    if (proposals_waiting_) {
+        proposals_waiting_ = false;
+        consensus::flush(*node_, now());
+    }
+    const std::uint64_t revision_before = state_.revision();
+    while (true) {
+        const consensus::outputs out = consensus::take_outputs(*node_);
+        if (out.empty()) {
+            break;
+        }
+        if (!store_outputs(out)) {
+            return;
+        }
+        for (const schema::raft_message& m : out.messages) {
+            send(m);
+        }
+        if (out.install) {
+            install(*out.install);
+        }
+        for (const schema::log_entry& e : out.committed) {
+            apply(e);
+        }
+        finish_reads(out);
+    }
+    note_role();
+    maybe_snapshot();
+    arm_timer();
+    if (state_.revision() != revision_before && on_table_changed) {
+        on_table_changed();
+    }
+}
+
+bool raft_host::store_outputs(const consensus::outputs& out) {
+    result<nothing, storage::storage_error> stored = nothing{};
+    if (out.install) {
+        schema::hard_state hard;
+        hard.set_term(node_->term);
+        hard.set_voted_for(node_->voted_for);
+        stored = store_->save_snapshot(*out.install, hard, out.store);
+    } else if (out.hard_state || !out.store.empty()) {
+        schema::storage_batch batch;
+        if (out.hard_state) {
+            *batch.mutable_hard_state() = *out.hard_state;
+        }
+        batch.mutable_entries()->Assign(out.store.begin(), out.store.end());
+        const time_point before = now();
+        stored = store_->append(std::move(batch));
+        metrics_.observe("burdockdeck_log_append_seconds", now() - before);
+    }
+    if (succeeded(stored)) {
+        return true;
+    }
+    // What the disk holds is unknown from here on; this process must not promise anything more.
+    storage_failed_ = true;
+    log_event(severity::error, event::storage_failed,
+              {{"file", error(stored).file}, {"reason", error(stored).message}});
+    fail_pending();
+    if (on_storage_failed) {
+        on_storage_failed();
+    }
+    return false;
+}
+
+raft_host::peer_link* raft_host::link_to(consensus::node_id id) {
+    const std::string address = address_of(id);
+    if (address.empty()) {
+        return nullptr;
+    }
+    peer_link& link = links_[id];
+    const bool silent = link.in_flight > 0 && now() - link.oldest_unanswered > link_silence;
+    if (link.stub == nullptr || link.address != address || silent) {
+        link.address = address;
+        link.channel = runtime::open_channel(address, access_);
+        link.stub = rpc::control_peer::NewStub(link.channel);
+        link.in_flight = 0;
+        ++link.generation;
+    }
+    return &link;
+}
+
+void raft_host::send(const schema::raft_message& message) {
+    peer_link* link = link_to(message.to());
+    if (link == nullptr || link->in_flight >= max_in_flight) {
+        return;
+    }
+    if (link->in_flight++ == 0) {
+        link->oldest_unanswered = now();
+    }
+    struct delivery {
+        grpc::ClientContext context;
+        schema::raft_message message;
+        rpc::acknowledgement reply;
+    };
+    auto d = std::make_shared<delivery>();
+    d->message = message;
+    d->message.set_from_address(to_text(settings_.listen));
+    d->context.set_deadline(std::chrono::system_clock::now() +
+                            std::chrono::duration_cast<std::chrono::microseconds>(deliver_timeout));
+    access_.sign(d->context);
+    metrics_.count("burdockdeck_raft_bytes_sent_total", "", d->message.ByteSizeLong());
+    metrics_.count("burdockdeck_raft_messages_sent_total");
+    const auto finished = [this, d, id = message.to(), generation = link->generation,
+                           alive = alive_](const grpc::Status& status) {
+        boost::asio::post(on_.context(), [this, id, generation, alive, ok = status.ok()] {
+            if (*alive && ok) {
+                answered(id, generation);
+            }
+        });
+    };
+    link->stub->async()->deliver(&d->context, &d->message, &d->reply, finished);
+}
+
+void raft_host::answered(consensus::node_id peer, std::uint64_t generation) {
+    peer_link& link = links_[peer];
+    if (link.generation != generation || link.in_flight == 0) {
+        return;
+    }
+    --link.in_flight;
+    link.oldest_unanswered = now();
+}
+
+void raft_host::install(const schema::snapshot& snapshot) {
+    state_.ParseFromString(snapshot.state());
+    applied_ = snapshot.index();
+    log_event(severity::info, event::snapshot_installed, {{"index", snapshot.index()}});
+}
+
+void raft_host::apply(const schema::log_entry& entry) {
+    applied_ = entry.index();
+    if (entry.kind() == schema::entry_configuration) {
+        log_event(severity::info, event::members_changed, {{"index", entry.index()}});
+    }
+    schema::command_reply reply;
+    if (entry.kind() == schema::entry_command) {
+        schema::command command;
+        command.ParseFromString(entry.data());
+        reply = catalog::apply(state_, command);
+        metrics_.count("burdockdeck_commands_applied_total");
+    }
+    const auto waiting = submits_.find(entry.index());
+    if (waiting == submits_.end()) {
+        return;
+    }
+    pending_submit submit = std::move(waiting->second);
+    submits_.erase(waiting);
+    const bool mine = submit.term == entry.term();
+    submit.done(mine ? submit_fate::applied : submit_fate::not_leader, std::move(reply));
+}
+
+void raft_host::finish_reads(const consensus::outputs& out) {
+    const auto take = [this](std::uint64_t context) {
+        const auto found = reads_.find(context);
+        auto done = std::move(found->second);
+        reads_.erase(found);
+        return done;
+    };
+    for (const consensus::ready_read& r : out.reads) {
+        take(r.context)(true, r.index);
+    }
+    for (const std::uint64_t context : out.failed_reads) {
+        take(context)(false, 0);
+    }
+    std::vector<read_callback> ready;
+    std::erase_if(waiting_reads_, [&](const waiting_read& w) {
+        if (w.index > applied_) {
+            return false;
+        }
+        ready.push_back(w.done);
+        return true;
+    });
+    for (const read_callback& done : ready) {
+        done(true);
+    }
+}
+
+void raft_host::fail_pending() {
+    std::map<std::uint64_t, pending_submit> lost;
+    lost.swap(submits_);
+    for (auto& [index, submit] : lost) {
+        submit.done(submit_fate::unknown, {});
+    }
+}
+
+void raft_host::note_role() {
+    const bool leading = is_leader();
+    if (leading == was_leader_) {
+        return;
+    }
+    was_leader_ = leading;
+    log_event(severity::info, event::role_changed,
+              {{"role", leading ? "leader" : "follower"},
+               {"term", node_->term},
+               {"last_index", consensus::last_index(*node_)}});
+    if (!leading) {
+        fail_pending();
+    }
+    if (on_leadership) {
+        on_leadership(leading);
+    }
+}
+
+void raft_host::maybe_snapshot() {
+    const consensus::log_index last_snapshot = node_->latest_snapshot.index();
+    if (applied_ < last_snapshot + settings_.snapshot_every) {
+        return;
+    }
+    schema::snapshot s;
+    s.set_index(applied_);
+    s.set_term(node_->log.entries[applied_ - node_->log.base_index - 1].term());
+    for (const consensus::configuration_at& c : node_->configurations) {
+        if (c.index <= applied_) {
+            *s.mutable_members() = c.members;
+        }
+    }
+    s.set_state(state_.SerializeAsString());
+    std::vector<schema::log_entry> rest;
+    for (const schema::log_entry& e : node_->log.entries) {
+        if (e.index() > applied_) {
+            rest.push_back(e);
+        }
+    }
+    schema::hard_state hard;
+    hard.set_term(node_->term);
+    hard.set_voted_for(node_->voted_for);
+    const auto saved = store_->save_snapshot(s, hard, rest);
+    if (!succeeded(saved)) {
+        storage_failed_ = true;
+        log_event(severity::error, event::storage_failed,
+                  {{"file", error(saved).file}, {"reason", error(saved).message}});
+        fail_pending();
+        if (on_storage_failed) {
+            on_storage_failed();
+        }
+        return;
+    }
+    log_event(severity::info, event::snapshot_saved,
+              {{"index", s.index()}, {"bytes", static_cast<std::uint64_t>(s.ByteSizeLong())}});
+    const std::uint64_t keep_from = applied_ > kept_entries ? applied_ - kept_entries : 1;
+    consensus::compact(*node_, std::move(s), keep_from);
+}
+
+void raft_host::arm_timer() {
+    timer_.expires_at(consensus::next_wakeup(*node_));
+    timer_.async_wait([this, alive = alive_](const boost::system::error_code& failed) {
+        if (failed || !*alive || stopped_) {
+            return;
+        }
+        consensus::tick(*node_, now(), rng_);
+        run_round();
+    });
+}
+
+}  // namespace burdockdeck::control
--- /dev/null
+++ b/libs/control/src/server.cpp
@@ -0,0 +1,127 @@
+// Wiring of one control instance.
+#include "control/server.h"
+
+#include "instance.h"
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "services.h"
+#include "watcher.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+boost::asio::awaitable<void> answer_http(instance& i, runtime::http_exchange& exchange) {
+    runtime::http_response response;
+    response.content_type = "text/plain; version=0.0.4";
+    const std::string_view path = exchange.request().path();
+    if (path == "/metrics") {
+        i.metrics.set("process_resident_memory_bytes",
+                      static_cast<double>(runtime::resident_bytes()));
+        i.metrics.set("process_cpu_seconds", to_seconds(runtime::processor_time()));
+        response.body = i.metrics.to_text();
+    } else if (path == "/healthz") {
+        response.body = "ok\n";
+    } else if (path == "/readyz") {
+        const bool ready = !i.raft->isolated();
+        response.status = ready ? 200 : 503;
+        response.body = ready ? "ready\n" : "isolated: no leader in contact\n";
+    } else {
+        response.status = 404;
+        response.body = "no such path\n";
+    }
+    (void)co_await exchange.respond(std::move(response));
+}
+
+}  // namespace
+
+struct control_server::state {
+    state(const control_settings& s, runtime::rpc_access a) : shared(s, std::move(a)) {}
+
+    instance shared;
+    runtime::loop_pool http_loops{"http", 1};
+    std::unique_ptr<grpc::Service> peer_service;
+    std::unique_ptr<grpc::Service> control_service;
+    std::unique_ptr<grpc::Server> server;
+    std::unique_ptr<runtime::http_server> http;
+};
+
+control_server::control_server(std::unique_ptr<state> s) : state_(std::move(s)) {}
+
+control_server::~control_server() {
+    if (state_->server) {
+        state_->server->Shutdown(std::chrono::system_clock::now());
+    }
+    state_->http_loops.stop();
+    state_->shared.loop.stop();
+}
+
+result<std::unique_ptr<control_server>, control_error> control_server::create(
+    const control_settings& settings, std::function<void()> failed) {
+    auto access = runtime::rpc_access::create(settings.access);
+    if (!succeeded(access)) {
+        return control_error{to_text(error(access))};
+    }
+    storage::contents found;
+    auto store = storage::store::open(settings.data_folder, found);
+    if (!succeeded(store)) {
+        const storage::storage_error& e = error(store);
+        return control_error{e.file + ": offset " + std::to_string(e.offset) + ": " + e.message};
+    }
+    if (found.cut_bytes > 0) {
+        log_event(severity::warning, event::torn_tail_cut, {{"bytes", found.cut_bytes}});
+    }
+    auto s = std::make_unique<state>(settings, value(access));
+    instance& i = s->shared;
+    i.leader_fleet.settings.agent_lease = settings.agent_lease;
+    i.leader_fleet.settings.share_lease = settings.agent_lease * 4 / 5;
+    i.leader_fleet.settings.plan.scale_down_after = settings.scale_down_after;
+    i.raft = std::make_unique<raft_host>(i.loop, settings, value(access), i.metrics,
+                                         std::move(value(store)), std::move(found));
+    i.raft->on_table_changed = [&i] { update_watchers(i); };
+    i.raft->on_storage_failed = std::move(failed);
+    i.raft->on_leadership = [&i](bool leading) {
+        if (leading) {
+            begin_leading(i.leader_fleet, i.raft->state(), std::chrono::steady_clock::now());
+        }
+    };
+    s->peer_service = make_peer_service(i);
+    s->control_service = make_control_service(i);
+    auto server = runtime::start_server(to_text(settings.listen), value(access),
+                                        {s->peer_service.get(), s->control_service.get()});
+    if (!succeeded(server)) {
+        return control_error{error(server).message};
+    }
+    s->server = std::move(value(server));
+    auto http = runtime::http_server::listen(
+        settings.http_listen, s->http_loops, {},
+        [&i](runtime::http_exchange& e) { return answer_http(i, e); });
+    if (!succeeded(http)) {
+        return control_error{error(http).message};
+    }
+    s->http = std::move(value(http));
+    start_duties(i);
+    log_event(severity::info, event::started,
+              {{"name", settings.name},
+               {"listen", to_text(settings.listen)},
+               {"node_id", i.raft->identity().node_id()},
+               {"cluster", i.raft->identity().cluster()}});
+    return std::unique_ptr<control_server>(new control_server(std::move(s)));
+}
+
+void control_server::stop(std::function<void()> finished) {
+    instance& i = state_->shared;
+    i.loop.post([&i, this, finished = std::move(finished)] {
+        i.stopping = true;
+        end_watches(i, "this instance stops");
+        i.raft->stop();
+        state_->http->stop_accepting();
+        finished();
+    });
+}
+
+}  // namespace burdockdeck::control
