Agent, entry and the operators' command line

Cause: the whole path needs its processes. Change: burdockdeck-agent (queue, ledger, orders, kept answers, tombstones, drain), burdockdeck-entry (routing, retries of what is proved not run, claims, resumption on new connections), burdockdeck (bootstrap, trial, promote, status, explain, drain, members, replace). Ruled out: sending answers as gRPC messages per token, which fixes their number; frames carry whatever has gathered since the last write.

--- /dev/null
+++ b/libs/agent/src/upstream_protocol.h
@@ -0,0 +1,72 @@
+// The HTTP protocol of upstreams, in one exchangeable module: what an upstream announces, how its
+// inventory is read, how orders and requests are put. Nothing else knows the engines' words.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "catalog.pb.h"
+#include "runtime/http.h"
+#include "services.pb.h"
+#include "settings/common.h"
+
+namespace burdockdeck::agent {
+
+struct protocol_error {
+    std::string message;
+};
+
+// What an upstream tells of itself.
+struct announcement {
+    schema::upstream_kind kind = schema::upstream_engine;
+    std::string service;
+    settings::endpoint address;
+    std::uint32_t memory_mb = 0;
+    std::uint32_t slots = 1;
+    // True if the engine refuses orders with an old fencing number.
+    bool refuses_old_fences = false;
+    bool operator==(const announcement& other) const;
+};
+
+// One model as the engine lists it.
+struct loaded_model {
+    std::string model;
+    std::string version;
+    std::uint32_t memory_mb = 0;
+    bool loading = false;
+};
+
+enum class order_action { load, unload };
+
+struct order {
+    order_action action = order_action::load;
+    std::string model;
+    std::string version;
+    std::uint32_t memory_mb = 0;
+    std::uint64_t fence = 0;
+};
+
+// done and refused are definite; after anything else the order may still land.
+enum class order_result { done, refused, unanswered };
+
+[[nodiscard]] result<announcement, protocol_error> parse_announcement(const std::string& body);
+[[nodiscard]] runtime::http_request inventory_request();
+[[nodiscard]] result<std::vector<loaded_model>, protocol_error> parse_inventory(
+    const std::string& body);
+[[nodiscard]] runtime::http_request health_request();
+[[nodiscard]] runtime::http_request order_request(const order& o);
+[[nodiscard]] order_result classify_order(
+    const result<runtime::http_response, runtime::http_error>& answer);
+// A request as the upstream takes it. With `resume`, the stream of the same attempt goes on behind
+// that many events.
+[[nodiscard]] runtime::http_request work_request(const rpc::run_request& run,
+                                                 const std::string& traceparent, bool resume,
+                                                 std::uint64_t resume_events);
+// Stops a request at the engine; with `keep` it can be resumed later.
+[[nodiscard]] runtime::http_request cancel_request(const std::string& attempt, bool keep);
+// True if this status means that the engine did not take the request.
+[[nodiscard]] bool engine_refused(unsigned status);
+
+}  // namespace burdockdeck::agent
--- a/libs/catalog/src/catalog.cpp
+++ b/libs/catalog/src/catalog.cpp
@@ -152,7 +152,7 @@
     a->set_live(false);
     a->clear_resident();
     a->clear_assigned();
-    a->set_adapter_share(0);
+    // Its adapter share stays until the leader knows that the holder's own lease has run out.
     touch(s, *a);
     return done(s);
 }
@@ -271,7 +271,7 @@
 
 command_reply apply_share(catalog_state& s, const schema::share_command& c) {
     agent_record* a = find_incarnation(s, c.agent(), c.incarnation());
-    if (a == nullptr || !a->live()) {
+    if (a == nullptr || (!a->live() && c.adapter_share() > a->adapter_share())) {
         return not_that_incarnation(c.agent());
     }
     std::uint64_t total = c.adapter_share();
--- a/libs/control/include/control/settings.h
+++ b/libs/control/include/control/settings.h
@@ -21,6 +21,8 @@
     settings::log_settings log;
     // An agent that has not renewed for this long is taken as gone.
     duration agent_lease = std::chrono::seconds(5);
+    // An agent may use its share of the adapters in flight for this long without a renewal.
+    duration share_lease = std::chrono::seconds(60);
     // Answers to keyed work are kept this long.
     duration claim_retention = std::chrono::hours(24);
     // Replicas above the need are given up after this time.
--- a/libs/control/src/duties.cpp
+++ b/libs/control/src/duties.cpp
@@ -49,7 +49,7 @@
 }
 
 void adjust_shares(instance& i) {
-    for (const schema::share_command& c : share_changes(i.leader_fleet, i.raft->state())) {
+    for (const schema::share_command& c : share_changes(i.leader_fleet, i.raft->state(), now())) {
         schema::command command;
         *command.mutable_share() = c;
         propose(i, std::move(command));
--- a/libs/control/src/fleet.cpp
+++ b/libs/control/src/fleet.cpp
@@ -58,7 +58,9 @@
         s.in_force = lease == nullptr ? s.granted : lease->share_in_force;
         s.wanted = lease == nullptr ? 0 : lease->adapters_wanted;
         shares.push_back(s);
-        granted += s.granted;
+    }
+    for (const auto& [name, record] : state.agents()) {
+        granted += record.adapter_share();
     }
     p.targets = admission::divide(limit, shares);
     p.free = limit > granted ? limit - granted : 0;
@@ -86,6 +88,13 @@
     return 0;
 }
 
+// True once the holder cannot be using its share any more, whatever it last heard.
+bool share_lease_over(const fleet& f, const schema::agent_record& record, time_point now) {
+    const agent_lease* lease = lease_of(f, record);
+    const time_point renewed = lease == nullptr ? f.leading_since : lease->renewed;
+    return now - std::max(renewed, f.leading_since) > f.settings.share_lease + f.settings.share_drift;
+}
+
 std::vector<placement::instance> instances_of(
     const google::protobuf::RepeatedPtrField<schema::model_instance>& list) {
     std::vector<placement::instance> out;
@@ -183,7 +192,8 @@
 }
 
 std::vector<schema::share_command> share_changes(const fleet& f,
-                                                 const schema::catalog_state& state) {
+                                                 const schema::catalog_state& state,
+                                                 time_point now) {
     std::vector<schema::share_command> out;
     const share_plan p = plan_shares(f, state);
     std::uint32_t free = p.free;
@@ -194,6 +204,12 @@
         c.set_adapter_share(share);
         out.push_back(c);
     };
+    for (const auto& [name, record] : state.agents()) {
+        const bool silent = !record.live() && record.adapter_share() > 0;
+        if (silent && share_lease_over(f, record, now)) {
+            propose(record, 0);
+        }
+    }
     for (std::size_t i = 0; i < p.holders.size(); ++i) {
         const schema::agent_record& record = *p.holders[i];
         const agent_lease* lease = lease_of(f, record);
--- a/libs/control/src/fleet.h
+++ b/libs/control/src/fleet.h
@@ -18,9 +18,11 @@
 
 struct fleet_settings {
     duration agent_lease = std::chrono::seconds(5);
-    // A holder keeps to its share for this long after it sent a renewal that was granted. Shorter
-    // than the agent lease by more than any drift of clocks.
-    duration share_lease = std::chrono::seconds(4);
+    // A holder may use its share for this long after it sent a renewal that was granted. Longer
+    // than an ordinary absence of control, so that adapters are served through it.
+    duration share_lease = std::chrono::seconds(60);
+    // Added before the share of a silent holder is granted to others: drift of its clock.
+    duration share_drift = std::chrono::seconds(2);
     // A load order must end, or be renewed, within this time.
     duration permit_lease = std::chrono::seconds(30);
     // Renewals of subscribers older than this are taken as gone.
@@ -84,7 +86,8 @@
                                                    time_point now);
 // Changes of adapter shares to propose now. Their sum never exceeds the limit.
 [[nodiscard]] std::vector<schema::share_command> share_changes(const fleet& f,
-                                                               const schema::catalog_state& state);
+                                                               const schema::catalog_state& state,
+                                                               time_point now);
 
 // --- Commands
 
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -78,7 +78,7 @@
     auto s = std::make_unique<state>(settings, value(access));
     instance& i = s->shared;
     i.leader_fleet.settings.agent_lease = settings.agent_lease;
-    i.leader_fleet.settings.share_lease = settings.agent_lease * 4 / 5;
+    i.leader_fleet.settings.share_lease = settings.share_lease;
     i.leader_fleet.settings.plan.scale_down_after = settings.scale_down_after;
     i.raft = std::make_unique<raft_host>(i.loop, settings, value(access), i.metrics,
                                          std::move(value(store)), std::move(found));
--- a/libs/control/src/settings.cpp
+++ b/libs/control/src/settings.cpp
@@ -14,6 +14,7 @@
     s.access = get_access_settings(reader);
     s.log = get_log_settings(reader);
     s.agent_lease = reader.get_milliseconds("agent_lease_ms", 1000, 600'000, 5000);
+    s.share_lease = reader.get_milliseconds("share_lease_ms", 1000, 3'600'000, 60'000);
     s.claim_retention =
         std::chrono::minutes(reader.get_integer("claim_retention_minutes", 1, 1'000'000, 1440));
     s.scale_down_after = reader.get_milliseconds("scale_down_after_ms", 0, 86'400'000, 300'000);
--- a/libs/control/tests/test_fleet.cpp
+++ b/libs/control/tests/test_fleet.cpp
@@ -85,10 +85,15 @@
         std::mt19937_64 rng(seed);
         schema::catalog_state s = state_with(4);
         fleet f;
+        // Short leases, so that silences outlast them often.
+        f.settings.agent_lease = seconds(2);
+        f.settings.share_lease = seconds(3);
+        f.settings.share_drift = milliseconds(100);
         time_point now{};
         begin_leading(f, s, now);
         std::map<std::string, holder> holders;
         std::map<std::string, std::uint32_t> wants;
+        std::map<std::string, time_point> silent_until;
         for (int step = 0; step < 600; ++step) {
             now += milliseconds(100);
             const std::string agent = "a" + std::to_string(rng() % 4);
@@ -96,7 +101,10 @@
             if (rng() % 50 == 0) {
                 wants[agent] = static_cast<std::uint32_t>(rng() % 60);
             }
-            if (rng() % 10 != 0) {
+            if (rng() % 150 == 0) {
+                silent_until[agent] = now + seconds(rng() % 8);
+            }
+            if (rng() % 10 != 0 && now >= silent_until[agent]) {
                 const time_point sent = now;
                 const auto reply = renew(f, s, renewal(agent, h.usable(now), wants[agent]), now);
                 const bool answer_arrives = rng() % 5 != 0;
@@ -113,7 +121,7 @@
                 *c.mutable_expire() = e;
                 (void)catalog::apply(s, c);
             }
-            for (const auto& change : share_changes(f, s)) {
+            for (const auto& change : share_changes(f, s, now)) {
                 schema::command c;
                 *c.mutable_share() = change;
                 (void)catalog::apply(s, c);
@@ -138,7 +146,7 @@
                 renew(f, s, renewal("a" + std::to_string(i), busy ? share : 1, busy ? 80 : 0), now);
             share = busy ? reply.adapter_share() : share;
         }
-        for (const auto& change : share_changes(f, s)) {
+        for (const auto& change : share_changes(f, s, now)) {
             schema::command c;
             *c.mutable_share() = change;
             (void)catalog::apply(s, c);
--- /dev/null
+++ b/libs/entry/include/entry/server.h
@@ -0,0 +1,32 @@
+// One entry: takes callers' requests, chooses upstreams, carries answers back whole.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "entry/settings.h"
+
+namespace burdockdeck::entry {
+
+struct entry_error {
+    std::string message;
+};
+
+class entry_server {
+public:
+    [[nodiscard]] static result<std::unique_ptr<entry_server>, entry_error> create(
+        const entry_settings& settings);
+    ~entry_server();
+
+    // Tells the balancer, waits for it, finishes what is in flight, then calls `finished`.
+    void stop(std::function<void()> finished);
+
+private:
+    struct state;
+    explicit entry_server(std::unique_ptr<state> s);
+    std::unique_ptr<state> state_;
+};
+
+}  // namespace burdockdeck::entry
--- /dev/null
+++ b/libs/entry/src/lane.cpp
@@ -0,0 +1,53 @@
+// Connections and demand.
+#include "lane.h"
+
+namespace burdockdeck::entry {
+
+rpc::agent::Stub& lane::stub(const std::string& address) {
+    connection& c = connections[address];
+    if (c.stub == nullptr) {
+        c.channel = runtime::open_channel(address, shared.access);
+        c.stub = rpc::agent::NewStub(c.channel);
+    }
+    return *c.stub;
+}
+
+void lane::leave(const std::string& address) {
+    connections.erase(address);
+}
+
+void demand_meter::advance(gauge& g, time_point now) {
+    g.integral += g.in_flight * to_seconds(now - g.changed);
+    g.changed = now;
+}
+
+void demand_meter::begin(const std::string& model, time_point now) {
+    const std::lock_guard lock(mutex_);
+    gauge& g = gauges_[model];
+    advance(g, now);
+    ++g.in_flight;
+}
+
+void demand_meter::end(const std::string& model, time_point now) {
+    const std::lock_guard lock(mutex_);
+    gauge& g = gauges_[model];
+    advance(g, now);
+    --g.in_flight;
+}
+
+std::map<std::string, double> demand_meter::take(time_point now) {
+    const std::lock_guard lock(mutex_);
+    const double seconds = to_seconds(now - taken_);
+    std::map<std::string, double> means;
+    for (auto& [model, g] : gauges_) {
+        advance(g, now);
+        if (taken_ != time_point{} && seconds > 0.0) {
+            means[model] = g.integral / seconds;
+        }
+        g.integral = 0.0;
+    }
+    taken_ = now;
+    return means;
+}
+
+}  // namespace burdockdeck::entry
--- /dev/null
+++ b/libs/entry/src/run_stream.cpp
@@ -0,0 +1,97 @@
+// The bridge from gRPC's threads to a coroutine.
+#include "run_stream.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace burdockdeck::entry {
+
+namespace {
+
+// Frames read ahead of the caller; beyond that the agent is held back by flow control.
+constexpr std::size_t max_frames_ahead = 64;
+
+}  // namespace
+
+void run_stream::start(rpc::agent::Stub& stub, const runtime::rpc_access& access,
+                       rpc::run_request request) {
+    self_ = shared_from_this();
+    request_ = std::move(request);
+    access.sign(context_);
+    stub.async()->run(&context_, &request_, this);
+    reading_ = true;
+    StartRead(&incoming_);
+    StartCall();
+}
+
+boost::asio::awaitable<read_result> run_stream::next(time_point until) {
+    const auto keep = shared_from_this();
+    while (true) {
+        {
+            const std::lock_guard lock(mutex_);
+            if (!frames_.empty()) {
+                rpc::frame f = std::move(frames_.front());
+                frames_.pop_front();
+                if (!reading_ && !done_) {
+                    reading_ = true;
+                    StartRead(&incoming_);
+                }
+                co_return f;
+            }
+            if (done_) {
+                call_ended ended;
+                ended.status = status_;
+                co_return ended;
+            }
+            if (std::chrono::steady_clock::now() >= until) {
+                const nothing_yet nothing;
+                co_return nothing;
+            }
+            waiting_ = true;
+        }
+        timer_.expires_at(until);
+        (void)co_await timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+    }
+}
+
+void run_stream::cancel() {
+    context_.TryCancel();
+}
+
+// Wakes the reader. The post runs after the reader has begun to wait, since both use one loop.
+void run_stream::wake(std::unique_lock<std::mutex>& lock) {
+    if (!waiting_) {
+        return;
+    }
+    waiting_ = false;
+    lock.unlock();
+    boost::asio::post(on_, [self = shared_from_this()] { self->timer_.cancel(); });
+}
+
+void run_stream::OnReadDone(bool ok) {
+    std::unique_lock lock(mutex_);
+    reading_ = false;
+    if (!ok) {
+        return;
+    }
+    frames_.push_back(std::move(incoming_));
+    incoming_.Clear();
+    if (frames_.size() < max_frames_ahead) {
+        reading_ = true;
+        StartRead(&incoming_);
+    }
+    wake(lock);
+}
+
+void run_stream::OnDone(const grpc::Status& status) {
+    {
+        std::unique_lock lock(mutex_);
+        done_ = true;
+        status_ = status;
+        wake(lock);
+    }
+    self_.reset();
+}
+
+}  // namespace burdockdeck::entry
--- /dev/null
+++ b/libs/operator_cli/src/commands.cpp
@@ -0,0 +1,611 @@
+// The commands over gRPC, one instance after another.
+#include "operator_cli/commands.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <iomanip>
+#include <ostream>
+#include <sstream>
+#include <thread>
+
+#include "document/document.h"
+#include "runtime/rpc.h"
+#include "runtime/trace.h"
+#include "services.grpc.pb.h"
+
+namespace burdockdeck::operator_cli {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr auto call_timeout = std::chrono::seconds(3);
+constexpr auto pause_between_tries = std::chrono::milliseconds(200);
+
+struct fault {
+    exit_status status = exit_status::refused;
+    std::string message;
+};
+
+exit_status print_fault(const options& o, const fault& f, std::ostream& out) {
+    if (o.json) {
+        out << json::serialize(json::object{{"done", false}, {"message", f.message}}) << "\n";
+    } else {
+        out << (f.status == exit_status::outcome_unknown ? "outcome unknown: " : "refused: ")
+            << f.message << "\n";
+    }
+    return f.status;
+}
+
+exit_status print_done(const options& o, json::object fields, const std::string& text,
+                       std::ostream& out) {
+    if (o.json) {
+        fields["done"] = true;
+        out << json::serialize(fields) << "\n";
+    } else {
+        out << text << "\n";
+    }
+    return exit_status::done;
+}
+
+result<runtime::rpc_access, fault> access_of(const options& o) {
+    auto access = runtime::rpc_access::create(o.access);
+    if (!succeeded(access)) {
+        return fault{exit_status::usage, settings::to_text(error(access))};
+    }
+    return value(access);
+}
+
+template <class Reply>
+struct call_answer {
+    grpc::Status status;
+    Reply reply;
+};
+
+// One blocking call on one instance.
+template <class Stub, class Reply, class Request>
+call_answer<Reply> call(Stub& stub, const runtime::rpc_access& access, const Request& request,
+                        grpc::Status (Stub::*method)(grpc::ClientContext*, const Request&, Reply*),
+                        duration timeout) {
+    call_answer<Reply> answer;
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() +
+                         std::chrono::duration_cast<std::chrono::microseconds>(timeout));
+    access.sign(context);
+    answer.status = (stub.*method)(&context, request, &answer.reply);
+    return answer;
+}
+
+std::unique_ptr<rpc::control::Stub> control_stub(const settings::endpoint& at,
+                                                 const runtime::rpc_access& access) {
+    return rpc::control::NewStub(runtime::open_channel(to_text(at), access));
+}
+
+std::string operation_id_of(const options& o) {
+    return o.operation_id.empty() ? "op-" + runtime::random_hex(16) : o.operation_id;
+}
+
+// Submits until it is applied. The operation id makes resending safe.
+result<schema::command_reply, fault> submit(const options& o, schema::command command) {
+    const auto access = access_of(o);
+    if (!succeeded(access)) {
+        return error(access);
+    }
+    rpc::submit_request request;
+    *request.mutable_command() = std::move(command);
+    const auto give_up = std::chrono::steady_clock::now() + o.timeout;
+    bool maybe_taken = false;
+    std::string trouble = "no control instance answers";
+    for (std::size_t i = 0; std::chrono::steady_clock::now() < give_up; ++i) {
+        const auto stub = control_stub(o.control[i % o.control.size()], value(access));
+        const auto answer =
+            call<rpc::control::Stub, rpc::submit_reply>(*stub, value(access), request,
+                                                        &rpc::control::Stub::submit, call_timeout);
+        if (answer.status.ok() && answer.reply.status() == rpc::submit_reply::applied) {
+            return answer.reply.reply();
+        }
+        if (answer.status.error_code() == grpc::StatusCode::UNAUTHENTICATED) {
+            return fault{exit_status::refused, answer.status.error_message()};
+        }
+        const bool unsent =
+            answer.status.ok()
+                ? answer.reply.status() == rpc::submit_reply::not_leader
+                : answer.status.error_message().starts_with("failed to connect");
+        maybe_taken = maybe_taken || !unsent;
+        trouble = answer.status.ok() ? "no leader" : answer.status.error_message();
+        std::this_thread::sleep_for(pause_between_tries);
+    }
+    return fault{maybe_taken ? exit_status::outcome_unknown : exit_status::refused,
+                 trouble + "; resend with --operation_id to learn its outcome"};
+}
+
+// Asks instances in turn until one answers that satisfies `good`.
+template <class Reply, class Request>
+result<Reply, fault> ask(const options& o, const Request& request,
+                         grpc::Status (rpc::control::Stub::*method)(grpc::ClientContext*,
+                                                                    const Request&, Reply*),
+                         const std::function<bool(const Reply&)>& good) {
+    const auto access = access_of(o);
+    if (!succeeded(access)) {
+        return error(access);
+    }
+    std::optional<Reply> second_best;
+    std::string trouble = "no control instance answers";
+    for (const settings::endpoint& at : o.control) {
+        const auto stub = control_stub(at, value(access));
+        const auto answer = call<rpc::control::Stub, Reply>(*stub, value(access), request, method,
+                                                            call_timeout);
+        if (!answer.status.ok()) {
+            trouble = to_text(at) + ": " + answer.status.error_message();
+            continue;
+        }
+        if (good(answer.reply)) {
+            return answer.reply;
+        }
+        second_best = answer.reply;
+    }
+    if (second_best) {
+        return *second_best;
+    }
+    return fault{exit_status::refused, trouble};
+}
+
+result<rpc::status_reply, fault> fetch_status(const options& o) {
+    return ask<rpc::status_reply, rpc::status_request>(
+        o, {}, &rpc::control::Stub::status,
+        [](const rpc::status_reply& r) { return !r.isolated() && r.leader_id() != 0; });
+}
+
+result<schema::document, fault> read_document(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    std::ostringstream text;
+    text << in.rdbuf();
+    if (!in) {
+        return fault{exit_status::usage, file + ": cannot be read"};
+    }
+    auto parsed = document::parse(file, text.str());
+    if (!succeeded(parsed)) {
+        return fault{exit_status::refused, settings::to_text(error(parsed))};
+    }
+    return value(parsed);
+}
+
+std::string instances_text(const google::protobuf::RepeatedPtrField<schema::model_instance>& list) {
+    std::string text;
+    for (const schema::model_instance& i : list) {
+        text += (text.empty() ? "" : ",") + i.model() + "@" + i.version();
+    }
+    return text.empty() ? "-" : text;
+}
+
+std::string standing_of(const schema::agent_record& a) {
+    if (!a.live()) {
+        return "gone";
+    }
+    return a.leaving() ? "leaving" : "serving";
+}
+
+json::array instances_json(const google::protobuf::RepeatedPtrField<schema::model_instance>& list) {
+    json::array out;
+    for (const schema::model_instance& i : list) {
+        out.push_back(json::object{{"model", i.model()}, {"version", i.version()}});
+    }
+    return out;
+}
+
+json::object status_json(const rpc::status_reply& s) {
+    json::array agents;
+    for (const schema::agent_record& a : s.agents()) {
+        agents.push_back(json::object{{"name", a.registration().name()},
+                                      {"standing", standing_of(a)},
+                                      {"failure_domain", a.registration().failure_domain()},
+                                      {"incarnation", a.registration().incarnation()},
+                                      {"adapter_share", a.adapter_share()},
+                                      {"resident", instances_json(a.resident())},
+                                      {"assigned", instances_json(a.assigned())}});
+    }
+    json::array subscribers;
+    for (const rpc::subscriber_status& x : s.subscribers()) {
+        subscribers.push_back(json::object{{"name", x.name()},
+                                           {"revision_in_force", x.revision_in_force()},
+                                           {"seen_ms_ago", x.seen_ms_ago()}});
+    }
+    json::array voters;
+    for (const schema::control_member& m : s.members().voters()) {
+        voters.push_back(json::object{{"id", std::to_string(m.id())},
+                                      {"name", m.name()},
+                                      {"address", m.address()},
+                                      {"failure_domain", m.failure_domain()}});
+    }
+    return json::object{{"cluster", s.cluster()},
+                        {"environment", s.environment()},
+                        {"answered_by", s.answered_by()},
+                        {"leader", s.leader_name()},
+                        {"isolated", s.isolated()},
+                        {"term", s.term()},
+                        {"commit", s.commit()},
+                        {"revision", s.revision()},
+                        {"label", s.current().document().label()},
+                        {"document_revision", s.current().revision()},
+                        {"claims", s.claims()},
+                        {"voters", voters},
+                        {"agents", agents},
+                        {"subscribers", subscribers}};
+}
+
+void print_models(const rpc::status_reply& s, std::ostream& out) {
+    out << "models:\n";
+    for (const schema::model& m : s.current().document().models()) {
+        int resident = 0;
+        int current = 0;
+        for (const schema::agent_record& a : s.agents()) {
+            for (const schema::model_instance& i : a.resident()) {
+                resident += i.model() == m.name() ? 1 : 0;
+                current += i.model() == m.name() && i.version() == m.version() ? 1 : 0;
+            }
+        }
+        out << "  " << std::left << std::setw(24) << m.name() << " version " << m.version()
+            << "  replicas " << current << " of " << m.min_replicas() << ".." << m.max_replicas()
+            << (resident == 0 ? "  UNREACHABLE" : "") << "\n";
+    }
+}
+
+void print_status(const rpc::status_reply& s, std::ostream& out) {
+    out << "cluster " << s.cluster() << "  environment " << s.environment() << "  answered by "
+        << s.answered_by() << (s.isolated() ? "  ISOLATED" : "") << "\n";
+    out << "leader " << (s.leader_name().empty() ? "none" : s.leader_name()) << "  term "
+        << s.term() << "  commit " << s.commit() << "  revision " << s.revision() << "\n";
+    out << "document " << (s.current().revision() == 0 ? "none" : s.current().document().label())
+        << "  in force since revision " << s.current().revision() << "  keyed work on record "
+        << s.claims() << "\n";
+    print_models(s, out);
+    out << "agents:\n";
+    for (const schema::agent_record& a : s.agents()) {
+        const auto& r = a.registration();
+        out << "  " << std::left << std::setw(16) << r.name() << std::setw(9) << standing_of(a)
+            << std::setw(12) << r.failure_domain() << " "
+            << (r.kind() == schema::upstream_service ? "service " + r.service()
+                                                     : "resident " + instances_text(a.resident()))
+            << "\n";
+    }
+    out << "subscribers:\n";
+    for (const rpc::subscriber_status& x : s.subscribers()) {
+        const bool lags = x.revision_in_force() < s.revision();
+        out << "  " << std::left << std::setw(16) << x.name() << "revision " << x.revision_in_force()
+            << "  seen " << x.seen_ms_ago() << " ms ago" << (lags ? "  LAGS" : "") << "\n";
+    }
+    out << "latest events:\n";
+    const int first = std::max(0, s.events_size() - 10);
+    for (int i = first; i < s.events_size(); ++i) {
+        out << "  " << s.events(i) << "\n";
+    }
+}
+
+// Waits until every subscriber seen lately has `revision` in force; false at the timeout.
+bool wait_until_in_force(const options& o, std::uint64_t revision, std::string& laggards) {
+    constexpr std::uint64_t lately_ms = 10'000;
+    const auto give_up = std::chrono::steady_clock::now() + o.timeout;
+    while (std::chrono::steady_clock::now() < give_up) {
+        const auto s = fetch_status(o);
+        laggards.clear();
+        if (succeeded(s)) {
+            for (const rpc::subscriber_status& x : value(s).subscribers()) {
+                const bool lags =
+                    x.revision_in_force() < revision && x.seen_ms_ago() < lately_ms;
+                laggards += lags ? " " + x.name() : "";
+            }
+            if (laggards.empty()) {
+                return true;
+            }
+        }
+        std::this_thread::sleep_for(pause_between_tries);
+    }
+    return false;
+}
+
+std::string text_in(const json::object& o, std::string_view key) {
+    const json::value* v = o.if_contains(key);
+    return v != nullptr && v->is_string() ? std::string(v->as_string()) : "";
+}
+
+struct span_line {
+    std::string trace_id;
+    std::string name;
+    std::string program;
+    std::int64_t start_ns = 0;
+    std::int64_t end_ns = 0;
+    std::map<std::string, std::string> attributes;
+};
+
+std::optional<span_line> parse_span(const std::string& line) {
+    boost::system::error_code failed;
+    const json::value v = json::parse(line, failed);
+    if (failed) {
+        return std::nullopt;
+    }
+    try {
+        const json::object& resource = v.at("resourceSpans").at(0).as_object();
+        const json::object& span =
+            resource.at("scopeSpans").at(0).at("spans").at(0).as_object();
+        span_line s;
+        s.trace_id = text_in(span, "traceId");
+        s.name = text_in(span, "name");
+        s.program = std::string(resource.at("resource")
+                                    .at("attributes")
+                                    .at(0)
+                                    .at("value")
+                                    .at("stringValue")
+                                    .as_string());
+        s.start_ns = std::stoll(text_in(span, "startTimeUnixNano"));
+        s.end_ns = std::stoll(text_in(span, "endTimeUnixNano"));
+        for (const json::value& a : span.at("attributes").as_array()) {
+            s.attributes[std::string(a.at("key").as_string())] =
+                std::string(a.at("value").at("stringValue").as_string());
+        }
+        return s;
+    } catch (const std::exception&) {
+        return std::nullopt;
+    }
+}
+
+}  // namespace
+
+exit_status bootstrap(const options& o, const std::string& environment, std::ostream& out) {
+    const auto access = access_of(o);
+    if (!succeeded(access)) {
+        return print_fault(o, error(access), out);
+    }
+    rpc::found_request request;
+    request.set_environment(environment);
+    request.set_operation_id(operation_id_of(o));
+    for (const settings::endpoint& at : o.control) {
+        const auto stub =
+            rpc::control_peer::NewStub(runtime::open_channel(to_text(at), value(access)));
+        const auto answer = call<rpc::control_peer::Stub, rpc::identify_reply>(
+            *stub, value(access), rpc::identify_request{}, &rpc::control_peer::Stub::identify,
+            call_timeout);
+        if (!answer.status.ok()) {
+            return print_fault(
+                o, {exit_status::refused, to_text(at) + ": " + answer.status.error_message()}, out);
+        }
+        const rpc::identify_reply& who = answer.reply;
+        if (who.founded() && o.operation_id.empty()) {
+            return print_fault(o,
+                               {exit_status::refused, who.name() + " at " + to_text(at) +
+                                                          " belongs to cluster " +
+                                                          who.identity().cluster() + " already"},
+                               out);
+        }
+        schema::control_member& m = *request.add_members();
+        m.set_id(who.identity().node_id());
+        m.set_name(who.name());
+        m.set_address(to_text(at));
+        m.set_failure_domain(who.failure_domain());
+    }
+    // One instance is founded; the others join when it addresses them by identity.
+    const auto stub = rpc::control_peer::NewStub(
+        runtime::open_channel(to_text(o.control.front()), value(access)));
+    const auto answer = call<rpc::control_peer::Stub, rpc::found_reply>(
+        *stub, value(access), request, &rpc::control_peer::Stub::found, call_timeout);
+    if (!answer.status.ok()) {
+        return print_fault(o, {exit_status::outcome_unknown, answer.status.error_message()}, out);
+    }
+    if (!answer.reply.done()) {
+        return print_fault(o, {exit_status::refused, answer.reply.message()}, out);
+    }
+    return print_done(o, {{"cluster", answer.reply.cluster()}},
+                      "founded cluster " + answer.reply.cluster() + " for environment " +
+                          environment,
+                      out);
+}
+
+exit_status trial(const options& o, const std::string& file, std::ostream& out) {
+    auto d = read_document(file);
+    if (!succeeded(d)) {
+        return print_fault(o, error(d), out);
+    }
+    schema::command command;
+    command.set_operation_id(operation_id_of(o));
+    command.mutable_trial()->set_digest(document::digest(value(d)));
+    *command.mutable_trial()->mutable_document() = value(d);
+    const auto reply = submit(o, std::move(command));
+    if (!succeeded(reply)) {
+        return print_fault(o, error(reply), out);
+    }
+    if (value(reply).status() != schema::status_done) {
+        return print_fault(o, {exit_status::refused, value(reply).message()}, out);
+    }
+    return print_done(o, {{"proof", value(reply).proof_id()}},
+                      "proof " + value(reply).proof_id() + "\n" + value(reply).message(), out);
+}
+
+exit_status promote(const options& o, const std::string& file, const std::string& proof,
+                    bool wait_for_all, std::ostream& out) {
+    auto d = read_document(file);
+    if (!succeeded(d)) {
+        return print_fault(o, error(d), out);
+    }
+    schema::command command;
+    command.set_operation_id(operation_id_of(o));
+    schema::promote_command& p = *command.mutable_promote();
+    *p.mutable_document() = value(d);
+    p.set_digest(document::digest(value(d)));
+    p.set_proof_id(proof);
+    const auto reply = submit(o, std::move(command));
+    if (!succeeded(reply)) {
+        return print_fault(o, error(reply), out);
+    }
+    if (value(reply).status() != schema::status_done) {
+        return print_fault(o, {exit_status::refused, value(reply).message()}, out);
+    }
+    const std::uint64_t revision = value(reply).revision();
+    std::string laggards;
+    if (wait_for_all && !wait_until_in_force(o, revision, laggards)) {
+        return print_fault(o,
+                           {exit_status::outcome_unknown, "accepted at revision " +
+                                                              std::to_string(revision) +
+                                                              ", not yet in force at:" + laggards},
+                           out);
+    }
+    return print_done(o, {{"revision", revision}},
+                      "label " + value(d).label() + " in force at revision " +
+                          std::to_string(revision),
+                      out);
+}
+
+exit_status status(const options& o, std::ostream& out) {
+    const auto s = fetch_status(o);
+    if (!succeeded(s)) {
+        return print_fault(o, error(s), out);
+    }
+    if (o.json) {
+        out << json::serialize(status_json(value(s))) << "\n";
+    } else {
+        print_status(value(s), out);
+    }
+    return value(s).isolated() ? exit_status::refused : exit_status::done;
+}
+
+exit_status explain_model(const options& o, const std::string& model, std::ostream& out) {
+    rpc::explain_request request;
+    request.set_model(model);
+    const auto reply = ask<rpc::explain_reply, rpc::explain_request>(
+        o, request, &rpc::control::Stub::explain,
+        [](const rpc::explain_reply& r) { return r.lines_size() > 0; });
+    if (!succeeded(reply)) {
+        return print_fault(o, error(reply), out);
+    }
+    json::array lines;
+    for (const std::string& line : value(reply).lines()) {
+        lines.push_back(json::value(line));
+        if (!o.json) {
+            out << line << "\n";
+        }
+    }
+    if (o.json) {
+        out << json::serialize(json::object{{"model", model}, {"lines", lines}}) << "\n";
+    }
+    return exit_status::done;
+}
+
+exit_status explain_request(const options& o, const std::string& request,
+                            const std::vector<std::string>& span_files, std::ostream& out) {
+    std::vector<span_line> all;
+    std::string trace;
+    for (const std::string& file : span_files) {
+        std::ifstream in(file);
+        for (std::string line; std::getline(in, line);) {
+            auto s = parse_span(line);
+            if (s && s->attributes["request.id"] == request) {
+                trace = s->trace_id;
+            }
+            if (s) {
+                all.push_back(std::move(*s));
+            }
+        }
+    }
+    std::erase_if(all, [&](const span_line& s) { return trace.empty() || s.trace_id != trace; });
+    if (all.empty()) {
+        return print_fault(o, {exit_status::refused, "no span of request `" + request + "`"}, out);
+    }
+    std::sort(all.begin(), all.end(),
+              [](const span_line& a, const span_line& b) { return a.start_ns < b.start_ns; });
+    json::array lines;
+    for (const span_line& s : all) {
+        const double from_ms = static_cast<double>(s.start_ns - all.front().start_ns) / 1e6;
+        const double took_ms = static_cast<double>(s.end_ns - s.start_ns) / 1e6;
+        json::object attributes;
+        std::string text;
+        for (const auto& [key, each] : s.attributes) {
+            attributes[key] = each;
+            text += " " + key + "=" + each;
+        }
+        lines.push_back(json::object{{"name", s.name},
+                                     {"program", s.program},
+                                     {"start_ms", from_ms},
+                                     {"took_ms", took_ms},
+                                     {"attributes", attributes}});
+        if (!o.json) {
+            out << "+" << from_ms << " ms  " << s.program << " " << s.name << "  took " << took_ms
+                << " ms " << text << "\n";
+        }
+    }
+    if (o.json) {
+        out << json::serialize(json::object{{"request", request}, {"spans", lines}}) << "\n";
+    }
+    return exit_status::done;
+}
+
+exit_status drain(const options& o, const std::string& agent, bool leaving, std::ostream& out) {
+    schema::command command;
+    command.set_operation_id(operation_id_of(o));
+    command.mutable_leaving()->set_agent(agent);
+    command.mutable_leaving()->set_leaving(leaving);
+    const auto reply = submit(o, std::move(command));
+    if (!succeeded(reply)) {
+        return print_fault(o, error(reply), out);
+    }
+    if (value(reply).status() != schema::status_done) {
+        return print_fault(o, {exit_status::refused, value(reply).message()}, out);
+    }
+    return print_done(o, {{"agent", agent}, {"leaving", leaving}},
+                      agent + (leaving ? " is leaving" : " is back in service"), out);
+}
+
+exit_status members(const options& o, std::ostream& out) {
+    const auto s = fetch_status(o);
+    if (!succeeded(s)) {
+        return print_fault(o, error(s), out);
+    }
+    if (o.json) {
+        out << json::serialize(status_json(value(s)).at("voters")) << "\n";
+        return exit_status::done;
+    }
+    const auto print = [&](const char* part, const auto& list) {
+        for (const schema::control_member& m : list) {
+            out << std::left << std::setw(9) << part << std::setw(14) << m.name() << std::setw(22)
+                << m.address() << std::setw(12) << m.failure_domain() << m.id()
+                << (m.id() == value(s).leader_id() ? "  leader" : "") << "\n";
+        }
+    };
+    print("voter", value(s).members().voters());
+    print("outgoing", value(s).members().outgoing());
+    print("learner", value(s).members().learners());
+    return exit_status::done;
+}
+
+exit_status replace(const options& o, const std::string& lost, const std::string& address,
+                    std::ostream& out) {
+    const auto access = access_of(o);
+    if (!succeeded(access)) {
+        return print_fault(o, error(access), out);
+    }
+    rpc::replace_request request;
+    request.set_operation_id(operation_id_of(o));
+    request.set_lost_name(lost);
+    request.set_new_address(address);
+    const auto give_up = std::chrono::steady_clock::now() + o.timeout;
+    std::string trouble = "no control instance answers";
+    for (std::size_t i = 0; std::chrono::steady_clock::now() < give_up; ++i) {
+        const auto stub = control_stub(o.control[i % o.control.size()], value(access));
+        const auto answer = call<rpc::control::Stub, rpc::replace_reply>(
+            *stub, value(access), request, &rpc::control::Stub::replace, o.timeout);
+        if (answer.status.ok() && answer.reply.done()) {
+            return print_done(o, {{"lost", lost}, {"address", address}}, answer.reply.message(),
+                              out);
+        }
+        const bool other_leader =
+            answer.status.ok() && answer.reply.message().starts_with("not the leader");
+        trouble = answer.status.ok() ? answer.reply.message() : answer.status.error_message();
+        if (answer.status.ok() && !other_leader) {
+            break;
+        }
+        std::this_thread::sleep_for(pause_between_tries);
+    }
+    return print_fault(o, {exit_status::refused, trouble}, out);
+}
+
+}  // namespace burdockdeck::operator_cli
