--- a/apps/cli/main.cpp
+++ b/apps/cli/main.cpp
@@ -110,9 +110,8 @@
         return operator_cli::members(o, std::cout);
     }
     if (command == "bootstrap") {
-        return FLAGS_environment.empty()
-                   ? usage("bootstrap takes --environment")
-                   : operator_cli::bootstrap(o, FLAGS_environment, std::cout);
+        return FLAGS_environment.empty() ? usage("bootstrap takes --environment")
+                                         : operator_cli::bootstrap(o, FLAGS_environment, std::cout);
     }
     if (command == "replace") {
         return FLAGS_lost.empty() || !settings::parse_endpoint(FLAGS_with)
--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -43,8 +43,7 @@
         std::cerr << error(server).message << "\n";
         return exit_failed;
     }
-    runtime::run_until_signal([&](std::function<void()> finished) {
-        value(server)->stop(std::move(finished));
-    });
+    runtime::run_until_signal(
+        [&](std::function<void()> finished) { value(server)->stop(std::move(finished)); });
     return exit_done;
 }
--- a/libs/admission/src/limit.cpp
+++ b/libs/admission/src/limit.cpp
@@ -77,13 +77,13 @@
     // Then the smallest unmet want is met first, all others rising with it.
     std::vector<std::size_t> order(holders.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
-    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-        return holders[a].wanted < holders[b].wanted;
-    });
+    std::sort(order.begin(), order.end(),
+              [&](std::size_t a, std::size_t b) { return holders[a].wanted < holders[b].wanted; });
     for (std::size_t k = 0; k < order.size(); ++k) {
         const std::size_t i = order[k];
         const auto others = static_cast<std::uint32_t>(order.size() - k);
-        const std::uint32_t unmet = holders[i].wanted > targets[i] ? holders[i].wanted - targets[i] : 0;
+        const std::uint32_t unmet =
+            holders[i].wanted > targets[i] ? holders[i].wanted - targets[i] : 0;
         const std::uint32_t fair = (left + others - 1) / others;
         const std::uint32_t more = std::min({unmet, fair, left});
         targets[i] += more;
--- a/libs/agent/src/server.cpp
+++ b/libs/agent/src/server.cpp
@@ -98,16 +98,16 @@
 template <class Result, class Work>
 boost::asio::awaitable<Result> ask_core(core& c, Work work) {
     const auto executor = co_await boost::asio::this_coro::executor;
+    const auto initiate = [&c, executor, work](auto handler) {
+        auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+        c.loop.post([executor, shared, work] {
+            Result r = work();
+            boost::asio::post(executor, [shared, r = std::move(r)] { (*shared)(r); });
+        });
+    };
     co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
-                                                   void(Result)>(
-        [&c, executor, work](auto handler) {
-            auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-            c.loop.post([executor, shared, work] {
-                Result r = work();
-                boost::asio::post(executor, [shared, r = std::move(r)] { (*shared)(r); });
-            });
-        },
-        boost::asio::use_awaitable);
+                                                   void(Result)>(initiate,
+                                                                 boost::asio::use_awaitable);
 }
 
 boost::asio::awaitable<runtime::http_response> answer_announce(core& c, std::string body) {
@@ -117,10 +117,11 @@
         co_return error_response(400, error(parsed).message);
     }
     const announcement a = value(parsed);
-    const std::string refused = co_await ask_core<std::string>(c, [&c, a]() -> std::string {
+    const auto take = [&c, a]() -> std::string {
         const auto taken = take_announcement(c, a);
         return succeeded(taken) ? "" : error(taken).message;
-    });
+    };
+    const std::string refused = co_await ask_core<std::string>(c, take);
     if (!refused.empty()) {
         log_event(severity::warning, event::upstream_refused, {{"reason", refused}});
         co_return error_response(409, refused);
@@ -147,9 +148,8 @@
     } else if (path == "/healthz") {
         response.body = "ok\n";
     } else if (path == "/readyz") {
-        const bool ready = co_await ask_core<bool>(c, [&c] {
-            return c.membership.registered && c.upstream.healthy && !c.leaving;
-        });
+        const bool ready = co_await ask_core<bool>(
+            c, [&c] { return c.membership.registered && c.upstream.healthy && !c.leaving; });
         response.status = ready ? 200 : 503;
         response.body = ready ? "ready\n" : "not registered, no upstream, or leaving\n";
     } else {
@@ -202,9 +202,9 @@
         return agent_error{error(server).message};
     }
     s->server = std::move(value(server));
-    auto http = runtime::http_server::listen(
-        settings.http_listen, c.traffic, {},
-        [&c](runtime::http_exchange& e) { return answer_http(c, e); });
+    auto http =
+        runtime::http_server::listen(settings.http_listen, c.traffic, {},
+                                     [&c](runtime::http_exchange& e) { return answer_http(c, e); });
     if (!succeeded(http)) {
         return agent_error{error(http).message};
     }
--- a/libs/agent/src/settings.cpp
+++ b/libs/agent/src/settings.cpp
@@ -13,9 +13,9 @@
     queueing::policy p;
     p.reserved_for_short =
         static_cast<std::uint32_t>(queue.get_integer("reserved_for_short", 0, 10'000, 2));
-    p.long_tokens = static_cast<std::uint32_t>(queue.get_integer("long_tokens", 1, 10'000'000, 512));
-    p.oldest_first_after =
-        queue.get_milliseconds("oldest_first_after_ms", 1, one_day_ms, 20'000);
+    p.long_tokens =
+        static_cast<std::uint32_t>(queue.get_integer("long_tokens", 1, 10'000'000, 512));
+    p.oldest_first_after = queue.get_milliseconds("oldest_first_after_ms", 1, one_day_ms, 20'000);
     p.arrival_order = queue.get_flag("arrival_order", false);
     (void)queue.finish();
     return p;
--- a/libs/agent/src/upstream_keeper.cpp
+++ b/libs/agent/src/upstream_keeper.cpp
@@ -29,10 +29,9 @@
 }
 
 bool is_assigned(const schema::agent_record& record, const std::string& item) {
-    return std::any_of(record.assigned().begin(), record.assigned().end(),
-                       [&](const schema::model_instance& i) {
-                           return item_key(i.model(), i.version()) == item;
-                       });
+    return std::any_of(
+        record.assigned().begin(), record.assigned().end(),
+        [&](const schema::model_instance& i) { return item_key(i.model(), i.version()) == item; });
 }
 
 std::pair<std::string, std::string> split_item(const std::string& item) {
@@ -170,8 +169,7 @@
     if (memory_mb == 0 || !succeeded(ledger::begin_load(c.memory, item, memory_mb))) {
         co_return;
     }
-    const std::string order_id =
-        c.settings.name + ":" + std::to_string(c.incarnation) + ":" + item;
+    const std::string order_id = c.settings.name + ":" + std::to_string(c.incarnation) + ":" + item;
     const bool permitted = co_await take_permit(c, order_id, item);
     const schema::agent_record* record = own_record(c);
     if (!permitted || record == nullptr || !may_order(c)) {
@@ -336,8 +334,7 @@
     u.announced = a;
     c.memory.capacity_mb = a.memory_mb;
     c.queue.rules.slots = a.slots;
-    c.queue.rules.reserved_for_short =
-        std::min(c.settings.queue.reserved_for_short, a.slots - 1);
+    c.queue.rules.reserved_for_short = std::min(c.settings.queue.reserved_for_short, a.slots - 1);
     c.orders_client = std::make_unique<runtime::http_client>(c.loop, a.address);
     c.work_clients.clear();
     log_event(severity::info, event::upstream_announced,
--- a/libs/agent/src/upstream_protocol.cpp
+++ b/libs/agent/src/upstream_protocol.cpp
@@ -123,11 +123,12 @@
     r.method = "POST";
     r.target = "/orders";
     r.headers = {{"Content-Type", "application/json"}};
-    r.body = json::serialize(json::object{{"action", o.action == order_action::load ? "load" : "unload"},
-                                          {"model", o.model},
-                                          {"version", o.version},
-                                          {"memory_mb", o.memory_mb},
-                                          {"fence", o.fence}});
+    r.body =
+        json::serialize(json::object{{"action", o.action == order_action::load ? "load" : "unload"},
+                                     {"model", o.model},
+                                     {"version", o.version},
+                                     {"memory_mb", o.memory_mb},
+                                     {"fence", o.fence}});
     return r;
 }
 
--- a/libs/agent/src/work.cpp
+++ b/libs/agent/src/work.cpp
@@ -137,8 +137,7 @@
         probe.headers = headers;
         content_type_ = probe.header("Content-Type");
         events_ = content_type_.starts_with("text/event-stream");
-        const bool refused =
-            a_->request.kind() == rpc::work_completion && engine_refused(status);
+        const bool refused = a_->request.kind() == rpc::work_completion && engine_refused(status);
         if (!refused) {
             a_->begin_answer(status, content_type_);
         }
@@ -203,8 +202,8 @@
     options.silence = upstream_silence;
     // A call that may run only once must not meet a connection that its peer has just closed.
     options.fresh_connection = a->request.kind() == rpc::work_service;
-    runtime::http_request request = work_request(
-        a->request, runtime::to_traceparent(a->span), resume, a->events());
+    runtime::http_request request =
+        work_request(a->request, runtime::to_traceparent(a->span), resume, a->events());
     const auto called = co_await client->call(std::move(request), reader, options);
     upstream_result r;
     if (succeeded(called)) {
@@ -250,7 +249,11 @@
         return;
     }
     const bool completion = a->request.kind() == rpc::work_completion;
-    if (r.ended_well && r.refused) {
+    const bool untouched = a->answer_bytes() == 0 && a->preemptions == 0;
+    if (r.ended_well && r.refused && !untouched) {
+        a->end(rpc::run_unknown, "the engine no longer knows the stream: " + r.message);
+        retire(c, a);
+    } else if (r.ended_well && r.refused) {
         c.upstream.inventory_read = c.upstream.inventory_read && r.message.empty();
         end_not_run(c, a, "the engine refused: " + r.message, min_retry_after);
     } else if (r.ended_well) {
@@ -258,7 +261,7 @@
         retire(c, a);
     } else if (a->state == attempt_state::preempted) {
         requeue(c, a);
-    } else if (r.not_sent && a->answer_bytes() == 0 && a->preemptions == 0) {
+    } else if (r.not_sent && untouched) {
         c.upstream.healthy = false;
         end_not_run(c, a, "the upstream cannot be reached: " + r.message, min_retry_after);
     } else if (completion && a->request.stream() && a->events() > 0 && !a->stop_wanted &&
@@ -306,8 +309,7 @@
             continue;
         }
         const attempt& a = *found->second;
-        const std::uint64_t tokens =
-            a.request.stream() ? a.events() : running.work.expected_tokens;
+        const std::uint64_t tokens = a.request.stream() ? a.events() : running.work.expected_tokens;
         queueing::progress(c.queue, number, static_cast<std::uint32_t>(tokens));
     }
 }
@@ -444,8 +446,8 @@
             (void)stop_attempt(c, r);
         }
     }
-    for (auto it = c.ended.begin(); it != c.ended.end() && c.kept_bytes > c.settings.kept_answer_bytes;
-         ++it) {
+    for (auto it = c.ended.begin();
+         it != c.ended.end() && c.kept_bytes > c.settings.kept_answer_bytes; ++it) {
         c.kept_bytes -= std::min(c.kept_bytes, it->second->answer_bytes());
         it->second->forget();
     }
--- a/libs/catalog/tests/test_catalog.cpp
+++ b/libs/catalog/tests/test_catalog.cpp
@@ -38,7 +38,8 @@
     return catalog::apply(s, c);
 }
 
-command promotion(const schema::document& d, const std::string& proof, const std::string& operation) {
+command promotion(const schema::document& d, const std::string& proof,
+                  const std::string& operation) {
     command c;
     c.set_operation_id(operation);
     *c.mutable_promote()->mutable_document() = d;
--- a/libs/client/src/control_client.cpp
+++ b/libs/client/src/control_client.cpp
@@ -134,9 +134,9 @@
         watch_heard = std::chrono::steady_clock::now();
         if (!watch_confirmed) {
             watch_confirmed = true;
-            runtime::log_event(runtime::severity::info, runtime::event::watch_opened,
-                               {{"control", instances[watch_index].address},
-                                {"revision", update.revision()}});
+            runtime::log_event(
+                runtime::severity::info, runtime::event::watch_opened,
+                {{"control", instances[watch_index].address}, {"revision", update.revision()}});
         }
         const std::uint64_t document_before = current.current.revision();
         switch (apply(current, update)) {
@@ -160,9 +160,8 @@
     }
 
     void lose_watch(const std::string& why) {
-        runtime::log_event(
-            runtime::severity::info, runtime::event::watch_lost,
-            {{"control", instances[watch_index].address}, {"reason", why}});
+        runtime::log_event(runtime::severity::info, runtime::event::watch_lost,
+                           {{"control", instances[watch_index].address}, {"reason", why}});
         ++watch_serial;
         if (watching) {
             watching->context.TryCancel();
--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -346,8 +346,7 @@
 
 void on_pre_vote_request(node& n, const raft_message& m, time_point now) {
     raft_message reply = message_to(n, m.from(), schema::pre_vote_reply);
-    const bool granted =
-        m.term() > n.term && log_is_current(n, m) && !leader_is_recent(n, now);
+    const bool granted = m.term() > n.term && log_is_current(n, m) && !leader_is_recent(n, now);
     reply.set_reject(!granted);
     reply.set_term(granted ? m.term() : n.term);
     n.pending.messages.push_back(std::move(reply));
@@ -360,8 +359,8 @@
     if (m.term() > n.term) {
         become_follower(n, m.term(), 0, now, rng);
     }
-    const bool free_vote = n.voted_for == 0 || n.voted_for == m.from() ||
-                           n.broken == mutation::vote_twice;
+    const bool free_vote =
+        n.voted_for == 0 || n.voted_for == m.from() || n.broken == mutation::vote_twice;
     const bool granted = m.term() == n.term && free_vote && log_is_current(n, m);
     if (granted) {
         n.voted_for = m.from();
@@ -615,7 +614,8 @@
         return false;
     }
     const auto peer = n.peers.find(id);
-    const bool stored = id == n.id || (peer != n.peers.end() && peer->second.match >= current.index);
+    const bool stored =
+        id == n.id || (peer != n.peers.end() && peer->second.match >= current.index);
     return current.index <= n.commit && stored && contains(current.members.voters(), id);
 }
 
--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -23,9 +23,8 @@
 
 // Why a trial's document does not fit the fleet as it stands; empty if it does.
 std::string misfit(const instance& i, const schema::document& next) {
-    const placement::trial_result t =
-        placement::try_document(i.raft->state().current().document(), next,
-                                agent_views(i.raft->state()));
+    const placement::trial_result t = placement::try_document(i.raft->state().current().document(),
+                                                              next, agent_views(i.raft->state()));
     return t.fits ? "" : t.reason;
 }
 
@@ -131,9 +130,7 @@
                 instance_.loop.post([this, ended] { instance_.watchers.erase(ended); });
             }
         };
-        w->on_idle = [this] {
-            instance_.loop.post([this] { update_watchers(instance_); });
-        };
+        w->on_idle = [this] { instance_.loop.post([this] { update_watchers(instance_); }); };
         instance_.loop.post([this, w] { open_watch(w); });
         return w.get();
     }
@@ -196,22 +193,23 @@
 
     // Passes a call on to the leader and finishes it with what `take` makes of the answer.
     template <class Reply, class Request, class Start, class Take>
-    void forward(const Request& request, grpc::ServerUnaryReactor* reactor, Start start, Take take) {
+    void forward(const Request& request, grpc::ServerUnaryReactor* reactor, Start start,
+                 Take take) {
         Request passed = request;
         passed.set_forwarded(true);
-        runtime::spawn(instance_.loop, [this, passed, reactor, start,
-                                        take]() -> boost::asio::awaitable<void> {
-            Request copy = passed;
-            auto answer = co_await runtime::call_unary<Reply>(instance_.loop.context(),
-                                                              instance_.access, std::move(copy),
-                                                              forward_timeout, start);
-            if (!succeeded(answer)) {
-                // The connection may have gone silent; the next call opens another.
-                instance_.leader_stubs.clear();
-            }
-            take(std::move(answer));
-            reactor->Finish(grpc::Status::OK);
-        });
+        runtime::spawn(
+            instance_.loop, [this, passed, reactor, start, take]() -> boost::asio::awaitable<void> {
+                Request copy = passed;
+                auto answer =
+                    co_await runtime::call_unary<Reply>(instance_.loop.context(), instance_.access,
+                                                        std::move(copy), forward_timeout, start);
+                if (!succeeded(answer)) {
+                    // The connection may have gone silent; the next call opens another.
+                    instance_.leader_stubs.clear();
+                }
+                take(std::move(answer));
+                reactor->Finish(grpc::Status::OK);
+            });
     }
 
     void submit_here(const rpc::submit_request& request, rpc::submit_reply& reply,
@@ -281,9 +279,8 @@
         const std::uint32_t lease_ms =
             static_cast<std::uint32_t>(to_milliseconds(f.settings.permit_lease));
         if (!request.release()) {
-            const permit_answer answer =
-                decide_permit(f, instance_.raft->state(), request.order_id(),
-                              std::chrono::steady_clock::now());
+            const permit_answer answer = decide_permit(
+                f, instance_.raft->state(), request.order_id(), std::chrono::steady_clock::now());
             if (answer.decision == permit_decision::wait) {
                 reply.set_retry_after_ms(
                     static_cast<std::uint32_t>(to_milliseconds(answer.retry_after) + 1));
@@ -297,20 +294,21 @@
                 return;
             }
         }
-        instance_.raft->submit(command, [&reply, reactor, lease_ms](submit_fate fate,
-                                                                   schema::command_reply answer) {
-            reply.set_granted(fate == submit_fate::applied &&
-                              answer.status() == schema::status_done);
-            reply.set_lease_ms(lease_ms);
-            reactor->Finish(grpc::Status::OK);
-        });
+        instance_.raft->submit(
+            command, [&reply, reactor, lease_ms](submit_fate fate, schema::command_reply answer) {
+                reply.set_granted(fate == submit_fate::applied &&
+                                  answer.status() == schema::status_done);
+                reply.set_lease_ms(lease_ms);
+                reactor->Finish(grpc::Status::OK);
+            });
     }
 
     // A fresh read first: a lagging or isolated instance must not hand out an old table.
     void open_watch(const std::shared_ptr<watcher>& w) {
         instance_.raft->read_barrier([this, w](bool fresh) {
             if (!fresh || instance_.stopping) {
-                w->end(grpc::Status(grpc::StatusCode::UNAVAILABLE, "isolated: no leader in contact"));
+                w->end(
+                    grpc::Status(grpc::StatusCode::UNAVAILABLE, "isolated: no leader in contact"));
                 return;
             }
             instance_.watchers.insert(w);
--- a/libs/control/src/duties.cpp
+++ b/libs/control/src/duties.cpp
@@ -1,11 +1,11 @@
 // Periodic work of a control instance.
 #include <boost/asio/io_context.hpp>
 
+#include "catalog/catalog.h"
 #include "instance.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "runtime/trace.h"
-#include "catalog/catalog.h"
 #include "watcher.h"
 
 namespace burdockdeck::control {
@@ -36,12 +36,10 @@
 }
 
 void expire_agents(instance& i) {
-    for (const schema::expire_command& c :
-         expired_agents(i.leader_fleet, i.raft->state(), now())) {
+    for (const schema::expire_command& c : expired_agents(i.leader_fleet, i.raft->state(), now())) {
         log_event(severity::warning, event::agent_expired,
                   {{"agent", c.agent()}, {"incarnation", c.incarnation()}});
-        note_event(i.leader_fleet,
-                   "agent " + c.agent() + ": lease ran out; taken out of service");
+        note_event(i.leader_fleet, "agent " + c.agent() + ": lease ran out; taken out of service");
         schema::command command;
         *command.mutable_expire() = c;
         propose(i, std::move(command));
@@ -102,7 +100,8 @@
 void heartbeat_watchers(instance& i) {
     for (const auto& w : i.watchers) {
         if (w->ready()) {
-            w->send(catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()));
+            w->send(
+                catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()));
         }
     }
 }
@@ -172,7 +171,8 @@
 void update_watchers(instance& i) {
     for (const auto& w : i.watchers) {
         if (w->known() != i.raft->state().revision() && w->ready()) {
-            w->send(catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()));
+            w->send(
+                catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()));
         }
     }
 }
--- a/libs/control/src/fleet.cpp
+++ b/libs/control/src/fleet.cpp
@@ -92,7 +92,8 @@
 bool share_lease_over(const fleet& f, const schema::agent_record& record, time_point now) {
     const agent_lease* lease = lease_of(f, record);
     const time_point renewed = lease == nullptr ? f.leading_since : lease->renewed;
-    return now - std::max(renewed, f.leading_since) > f.settings.share_lease + f.settings.share_drift;
+    return now - std::max(renewed, f.leading_since) >
+           f.settings.share_lease + f.settings.share_drift;
 }
 
 std::vector<placement::instance> instances_of(
@@ -127,7 +128,8 @@
     f.credited = now;
     for (const auto& [name, record] : state.agents()) {
         if (record.live()) {
-            f.leases[name] = {record.registration().incarnation(), now, record.adapter_share(), 0, 0};
+            f.leases[name] = {record.registration().incarnation(), now, record.adapter_share(), 0,
+                              0};
         }
     }
 }
@@ -176,9 +178,9 @@
         slots += record->registration().slots();
     }
     const double slots_each =
-        engines.empty() ? 1.0
-                        : std::max(1.0, static_cast<double>(slots) /
-                                            static_cast<double>(engines.size()));
+        engines.empty()
+            ? 1.0
+            : std::max(1.0, static_cast<double>(slots) / static_cast<double>(engines.size()));
     placement::demand_by_model demand;
     for (const auto& [name, s] : f.subscribers) {
         if (now - s.seen > f.settings.subscriber_timeout) {
@@ -191,8 +193,7 @@
     return demand;
 }
 
-std::vector<schema::share_command> share_changes(const fleet& f,
-                                                 const schema::catalog_state& state,
+std::vector<schema::share_command> share_changes(const fleet& f, const schema::catalog_state& state,
                                                  time_point now) {
     std::vector<schema::share_command> out;
     const share_plan p = plan_shares(f, state);
--- a/libs/control/src/fleet.h
+++ b/libs/control/src/fleet.h
@@ -1,5 +1,5 @@
-// What a leader keeps in memory of the fleet, and what it decides from it: leases, expiry, shares of
-// fleet-wide limits, permits for the weight store, placement. What was granted stands in the
+// What a leader keeps in memory of the fleet, and what it decides from it: leases, expiry, shares
+// of fleet-wide limits, permits for the weight store, placement. What was granted stands in the
 // catalog; a new leader starts its leases anew, so none ends early.
 #pragma once
 
--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -235,8 +235,7 @@
         return;
     }
     rpc::control_peer::Stub* stub = link->stub.get();
-    runtime::spawn(on_, [this, stub, wait_for,
-                         alive = alive_]() -> boost::asio::awaitable<void> {
+    runtime::spawn(on_, [this, stub, wait_for, alive = alive_]() -> boost::asio::awaitable<void> {
         const auto start = [stub](auto... arguments) { stub->async()->read_index(arguments...); };
         rpc::read_index_request request;
         auto answer = co_await runtime::call_unary<rpc::read_index_reply>(
--- a/libs/control/src/replace.cpp
+++ b/libs/control/src/replace.cpp
@@ -53,7 +53,8 @@
     if (!i.raft->is_leader()) {
         co_return reply_of(false, "not the leader; it is at `" + i.raft->leader_address() + "`");
     }
-    const auto stub = rpc::control_peer::NewStub(runtime::open_channel(request.new_address(), i.access));
+    const auto stub =
+        rpc::control_peer::NewStub(runtime::open_channel(request.new_address(), i.access));
     const auto start = [&stub](auto... arguments) { stub->async()->identify(arguments...); };
     rpc::identify_request ask;
     auto identified = co_await runtime::call_unary<rpc::identify_reply>(
@@ -65,8 +66,8 @@
     const rpc::identify_reply& who = value(identified);
     const std::string& cluster = who.identity().cluster();
     if (!cluster.empty() && cluster != i.raft->identity().cluster()) {
-        co_return reply_of(false, "the instance at `" + request.new_address() +
-                                      "` belongs to another cluster");
+        co_return reply_of(
+            false, "the instance at `" + request.new_address() + "` belongs to another cluster");
     }
     schema::control_member fresh;
     fresh.set_id(who.identity().node_id());
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -97,9 +97,9 @@
         return control_error{error(server).message};
     }
     s->server = std::move(value(server));
-    auto http = runtime::http_server::listen(
-        settings.http_listen, s->http_loops, {},
-        [&i](runtime::http_exchange& e) { return answer_http(i, e); });
+    auto http =
+        runtime::http_server::listen(settings.http_listen, s->http_loops, {},
+                                     [&i](runtime::http_exchange& e) { return answer_http(i, e); });
     if (!succeeded(http)) {
         return control_error{error(http).message};
     }
--- a/libs/control/src/status.cpp
+++ b/libs/control/src/status.cpp
@@ -24,9 +24,9 @@
                     std::to_string(document::footprint_mb(m)) + " MB a replica, " +
                     std::to_string(m.min_replicas()) + " to " + std::to_string(m.max_replicas()) +
                     " replicas");
-    reply.add_lines("demand: " + std::to_string(replicas) + " replicas kept busy, wanted: " +
-                    std::to_string(placement::wanted_replicas(m, replicas,
-                                                              i.leader_fleet.settings.plan)));
+    reply.add_lines(
+        "demand: " + std::to_string(replicas) + " replicas kept busy, wanted: " +
+        std::to_string(placement::wanted_replicas(m, replicas, i.leader_fleet.settings.plan)));
 }
 
 }  // namespace
--- a/libs/control/src/unary.h
+++ b/libs/control/src/unary.h
@@ -15,8 +15,8 @@
     if (!i.access.allows(*context)) {
         runtime::log_event(runtime::severity::warning, runtime::event::access_refused,
                            {{"peer", context->peer()}});
-        reactor->Finish(grpc::Status(grpc::StatusCode::UNAUTHENTICATED,
-                                     "the shared key is missing or wrong"));
+        reactor->Finish(
+            grpc::Status(grpc::StatusCode::UNAUTHENTICATED, "the shared key is missing or wrong"));
         return reactor;
     }
     i.loop.post([reactor, handle = std::move(handle)] { handle(reactor); });
--- a/libs/document/src/document.cpp
+++ b/libs/document/src/document.cpp
@@ -63,7 +63,8 @@
     for (map_reader& item : reader.get_maps("adapters")) {
         schema::adapter& a = *m.add_adapters();
         a.set_name(read_name(item, names));
-        a.set_memory_mb(static_cast<std::uint32_t>(item.get_integer("memory_mb", 0, max_memory_mb)));
+        a.set_memory_mb(
+            static_cast<std::uint32_t>(item.get_integer("memory_mb", 0, max_memory_mb)));
         (void)item.finish();
     }
 }
@@ -74,7 +75,8 @@
         schema::model& m = *d.add_models();
         m.set_name(read_name(item, names));
         m.set_version(item.get_string("version"));
-        m.set_memory_mb(static_cast<std::uint32_t>(item.get_integer("memory_mb", 1, max_memory_mb)));
+        m.set_memory_mb(
+            static_cast<std::uint32_t>(item.get_integer("memory_mb", 1, max_memory_mb)));
         read_replicas(item, m);
         read_priority(item, m);
         read_adapters(item, m);
--- a/libs/document/tests/test_document.cpp
+++ b/libs/document/tests/test_document.cpp
@@ -55,7 +55,8 @@
 TEST_CASE("the digest ignores comments and depends on content") {
     const auto one = document::parse("d.yaml", good);
     const auto two = document::parse("d.yaml", "# note\n" + good);
-    const auto three = document::parse("d.yaml", replaced(good, "memory_mb: 100", "memory_mb: 101"));
+    const auto three =
+        document::parse("d.yaml", replaced(good, "memory_mb: 100", "memory_mb: 101"));
     CHECK(document::digest(value(one)) == document::digest(value(two)));
     CHECK(document::digest(value(one)) != document::digest(value(three)));
 }
--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -373,8 +373,7 @@
 }
 
 boost::asio::awaitable<void> answer_completed(runtime::http_exchange& exchange, const work& w,
-                                              const caller_sink& sink,
-                                              const request_outcome& out) {
+                                              const caller_sink& sink, const request_outcome& out) {
     runtime::http_response r;
     r.headers = {{"X-Request-Id", w.request_id}, {"Burdockdeck-Outcome", "completed"}};
     if (out.replayed) {
@@ -397,14 +396,13 @@
 // chunk, so that it cannot be taken for whole.
 boost::asio::awaitable<void> break_stream(runtime::http_exchange& exchange, const work& w,
                                           const request_outcome& out) {
-    const std::string text =
-        "event: error\ndata: " +
-        boost::json::serialize(boost::json::object{
-            {"error", boost::json::object{{"message", out.message},
-                                          {"type", "upstream_lost"},
-                                          {"outcome", name_of(out.result)},
-                                          {"request_id", w.request_id}}}}) +
-        "\n\n";
+    const std::string text = "event: error\ndata: " +
+                             boost::json::serialize(boost::json::object{
+                                 {"error", boost::json::object{{"message", out.message},
+                                                               {"type", "upstream_lost"},
+                                                               {"outcome", name_of(out.result)},
+                                                               {"request_id", w.request_id}}}}) +
+                             "\n\n";
     (void)co_await exchange.write(text);
 }
 
@@ -413,11 +411,9 @@
     const std::string label = "outcome=" + std::string(name_of(out.result));
     on.shared.metrics.count("burdockdeck_requests_total", label);
     on.shared.metrics.observe("burdockdeck_request_seconds", took, label);
-    runtime::write_span(w.span, w.parent_span, "entry.request", w.received_wall_ns,
-                        runtime::wall_clock_ns(),
-                        {{"request.id", w.request_id},
-                         {"target", w.target},
-                         {"outcome", name_of(out.result)}});
+    runtime::write_span(
+        w.span, w.parent_span, "entry.request", w.received_wall_ns, runtime::wall_clock_ns(),
+        {{"request.id", w.request_id}, {"target", w.target}, {"outcome", name_of(out.result)}});
     log_event(out.result == outcome::completed ? severity::debug : severity::info,
               event::request_ended,
               {{"request", w.request_id},
@@ -452,8 +448,7 @@
     // Kept for the whole request: the document that was in force when it came.
     const std::shared_ptr<const routing_view> view = on.view;
     const time_point now = steady_now();
-    const auto understood =
-        understand(exchange.request(), view->document, on.shared.settings, now);
+    const auto understood = understand(exchange.request(), view->document, on.shared.settings, now);
     if (!succeeded(understood)) {
         const refusal& r = error(understood);
         on.shared.metrics.count("burdockdeck_refused_total", "status=" + std::to_string(r.status));
--- a/libs/entry/src/server.cpp
+++ b/libs/entry/src/server.cpp
@@ -159,9 +159,8 @@
     }
     s->http = std::move(value(http));
     shared.loop.post([&shared] {
-        shared.control.watch(shared.settings.name, [&shared](const client::table& t) {
-            table_changed(shared, t);
-        });
+        shared.control.watch(shared.settings.name,
+                             [&shared](const client::table& t) { table_changed(shared, t); });
         runtime::spawn(shared.loop, [&shared] { return report(shared); });
     });
     log_event(severity::info, event::started,
--- a/libs/entry/src/work.cpp
+++ b/libs/entry/src/work.cpp
@@ -117,8 +117,7 @@
     }
     w.kind = rpc::work_service;
     w.max_tokens = 1;
-    w.idempotent =
-        document::is_idempotent(*s, r.method, w.path.substr(0, w.path.find('?')));
+    w.idempotent = document::is_idempotent(*s, r.method, w.path.substr(0, w.path.find('?')));
     const std::string_view key = r.header("Idempotency-Key");
     if (key.size() > max_key_bytes || !is_printable(key)) {
         return refusal{400, "header Idempotency-Key must be printable, 256 bytes at most"};
--- a/libs/ledger/tests/test_ledger.cpp
+++ b/libs/ledger/tests/test_ledger.cpp
@@ -77,7 +77,8 @@
             }
             case 3:
                 if (!engine.late_loads.empty()) {
-                    engine.loaded[engine.late_loads.front().first] = engine.late_loads.front().second;
+                    engine.loaded[engine.late_loads.front().first] =
+                        engine.late_loads.front().second;
                     engine.late_loads.pop_front();
                 }
                 break;
--- a/libs/operator_cli/src/commands.cpp
+++ b/libs/operator_cli/src/commands.cpp
@@ -101,19 +101,17 @@
     std::string trouble = "no control instance answers";
     for (std::size_t i = 0; std::chrono::steady_clock::now() < give_up; ++i) {
         const auto stub = control_stub(o.control[i % o.control.size()], value(access));
-        const auto answer =
-            call<rpc::control::Stub, rpc::submit_reply>(*stub, value(access), request,
-                                                        &rpc::control::Stub::submit, call_timeout);
+        const auto answer = call<rpc::control::Stub, rpc::submit_reply>(
+            *stub, value(access), request, &rpc::control::Stub::submit, call_timeout);
         if (answer.status.ok() && answer.reply.status() == rpc::submit_reply::applied) {
             return answer.reply.reply();
         }
         if (answer.status.error_code() == grpc::StatusCode::UNAUTHENTICATED) {
             return fault{exit_status::refused, answer.status.error_message()};
         }
-        const bool unsent =
-            answer.status.ok()
-                ? answer.reply.status() == rpc::submit_reply::not_leader
-                : answer.status.error_message().starts_with("failed to connect");
+        const bool unsent = answer.status.ok()
+                                ? answer.reply.status() == rpc::submit_reply::not_leader
+                                : answer.status.error_message().starts_with("failed to connect");
         maybe_taken = maybe_taken || !unsent;
         trouble = answer.status.ok() ? "no leader" : answer.status.error_message();
         std::this_thread::sleep_for(pause_between_tries);
@@ -136,8 +134,8 @@
     std::string trouble = "no control instance answers";
     for (const settings::endpoint& at : o.control) {
         const auto stub = control_stub(at, value(access));
-        const auto answer = call<rpc::control::Stub, Reply>(*stub, value(access), request, method,
-                                                            call_timeout);
+        const auto answer =
+            call<rpc::control::Stub, Reply>(*stub, value(access), request, method, call_timeout);
         if (!answer.status.ok()) {
             trouble = to_text(at) + ": " + answer.status.error_message();
             continue;
@@ -274,8 +272,9 @@
     out << "subscribers:\n";
     for (const rpc::subscriber_status& x : s.subscribers()) {
         const bool lags = x.revision_in_force() < s.revision();
-        out << "  " << std::left << std::setw(16) << x.name() << "revision " << x.revision_in_force()
-            << "  seen " << x.seen_ms_ago() << " ms ago" << (lags ? "  LAGS" : "") << "\n";
+        out << "  " << std::left << std::setw(16) << x.name() << "revision "
+            << x.revision_in_force() << "  seen " << x.seen_ms_ago() << " ms ago"
+            << (lags ? "  LAGS" : "") << "\n";
     }
     out << "latest events:\n";
     const int first = std::max(0, s.events_size() - 10);
@@ -293,8 +292,7 @@
         laggards.clear();
         if (succeeded(s)) {
             for (const rpc::subscriber_status& x : value(s).subscribers()) {
-                const bool lags =
-                    x.revision_in_force() < revision && x.seen_ms_ago() < lately_ms;
+                const bool lags = x.revision_in_force() < revision && x.seen_ms_ago() < lately_ms;
                 laggards += lags ? " " + x.name() : "";
             }
             if (laggards.empty()) {
@@ -328,8 +326,7 @@
     }
     try {
         const json::object& resource = v.at("resourceSpans").at(0).as_object();
-        const json::object& span =
-            resource.at("scopeSpans").at(0).at("spans").at(0).as_object();
+        const json::object& span = resource.at("scopeSpans").at(0).at("spans").at(0).as_object();
         span_line s;
         s.trace_id = text_in(span, "traceId");
         s.name = text_in(span, "name");
@@ -373,11 +370,11 @@
         }
         const rpc::identify_reply& who = answer.reply;
         if (who.founded() && o.operation_id.empty()) {
-            return print_fault(o,
-                               {exit_status::refused, who.name() + " at " + to_text(at) +
-                                                          " belongs to cluster " +
-                                                          who.identity().cluster() + " already"},
-                               out);
+            return print_fault(
+                o,
+                {exit_status::refused, who.name() + " at " + to_text(at) + " belongs to cluster " +
+                                           who.identity().cluster() + " already"},
+                out);
         }
         schema::control_member& m = *request.add_members();
         m.set_id(who.identity().node_id());
@@ -396,10 +393,9 @@
     if (!answer.reply.done()) {
         return print_fault(o, {exit_status::refused, answer.reply.message()}, out);
     }
-    return print_done(o, {{"cluster", answer.reply.cluster()}},
-                      "founded cluster " + answer.reply.cluster() + " for environment " +
-                          environment,
-                      out);
+    return print_done(
+        o, {{"cluster", answer.reply.cluster()}},
+        "founded cluster " + answer.reply.cluster() + " for environment " + environment, out);
 }
 
 exit_status trial(const options& o, const std::string& file, std::ostream& out) {
@@ -444,16 +440,15 @@
     const std::uint64_t revision = value(reply).revision();
     std::string laggards;
     if (wait_for_all && !wait_until_in_force(o, revision, laggards)) {
-        return print_fault(o,
-                           {exit_status::outcome_unknown, "accepted at revision " +
-                                                              std::to_string(revision) +
-                                                              ", not yet in force at:" + laggards},
-                           out);
-    }
-    return print_done(o, {{"revision", revision}},
-                      "label " + value(d).label() + " in force at revision " +
-                          std::to_string(revision),
-                      out);
+        return print_fault(
+            o,
+            {exit_status::outcome_unknown, "accepted at revision " + std::to_string(revision) +
+                                               ", not yet in force at:" + laggards},
+            out);
+    }
+    return print_done(
+        o, {{"revision", revision}},
+        "label " + value(d).label() + " in force at revision " + std::to_string(revision), out);
 }
 
 exit_status status(const options& o, std::ostream& out) {
--- a/libs/placement/include/placement/plan.h
+++ b/libs/placement/include/placement/plan.h
@@ -72,7 +72,8 @@
 // replicas spread over failure domains; as few moves as these rules allow.
 [[nodiscard]] plan_result plan(const schema::document& document,
                                const std::vector<agent_view>& fleet, const demand_by_model& demand,
-                               const plan_settings& settings, planner_state& memory, time_point now);
+                               const plan_settings& settings, planner_state& memory,
+                               time_point now);
 
 // Replicas that `load` asks for within the model's bounds.
 [[nodiscard]] std::uint32_t wanted_replicas(const schema::model& m, double load,
--- a/libs/placement/src/plan.cpp
+++ b/libs/placement/src/plan.cpp
@@ -186,9 +186,10 @@
             const bool idle = !w.agents[i].resident.contains(old);
             if (replaced || idle) {
                 unassign(w, i, old);
-                note(w, old.model, "version " + old.version + " leaves " +
-                                       w.agents[i].view->name + ": version " + m->version() +
-                                       (replaced ? " serves" : " is declared and this is not loaded"));
+                note(w, old.model,
+                     "version " + old.version + " leaves " + w.agents[i].view->name + ": version " +
+                         m->version() +
+                         (replaced ? " serves" : " is declared and this is not loaded"));
             }
         }
     }
@@ -220,9 +221,9 @@
         }
         for (const instance& victim : victims) {
             unassign(w, i, victim);
-            note(w, victim.model, "version " + victim.version + " leaves " + a.view->name +
-                                      ": makes room for " + target.model +
-                                      ", other replicas serve");
+            note(w, victim.model,
+                 "version " + victim.version + " leaves " + a.view->name + ": makes room for " +
+                     target.model + ", other replicas serve");
         }
         return true;
     }
@@ -248,18 +249,18 @@
         const std::optional<std::size_t> agent = best_agent(w, need.target);
         if (agent) {
             assign(w, *agent, need.target);
-            note(w, need.target.model, "version " + need.target.version + " goes to " +
-                                           w.agents[*agent].view->name + " (" +
-                                           w.agents[*agent].view->failure_domain +
-                                           "): " + std::string(why));
+            note(w, need.target.model,
+                 "version " + need.target.version + " goes to " + w.agents[*agent].view->name +
+                     " (" + w.agents[*agent].view->failure_domain + "): " + std::string(why));
             ++have;
             continue;
         }
         const bool waits = must && (room_is_coming(w, need.target) || make_room(w, need.target));
         if (must) {
-            note(w, need.target.model, waits ? "waits for memory to be released"
-                                             : "no agent has room for " +
-                                                   std::to_string(size_of(w, need.target)) + " MB");
+            note(w, need.target.model,
+                 waits
+                     ? "waits for memory to be released"
+                     : "no agent has room for " + std::to_string(size_of(w, need.target)) + " MB");
         }
         return;
     }
@@ -288,8 +289,9 @@
             return;
         }
         unassign(w, *victim, need.target);
-        note(w, need.target.model, "leaves " + w.agents[*victim].view->name + ": " +
-                                       std::to_string(need.wanted) + " replicas are enough");
+        note(w, need.target.model,
+             "leaves " + w.agents[*victim].view->name + ": " + std::to_string(need.wanted) +
+                 " replicas are enough");
         --have;
     }
 }
@@ -394,9 +396,8 @@
 std::uint32_t carry_out(const plan_result& p, std::vector<agent_view>& fleet) {
     std::uint32_t loads = 0;
     for (const assignment& change : p.changes) {
-        const auto at = std::find_if(fleet.begin(), fleet.end(), [&](const agent_view& a) {
-            return a.name == change.agent;
-        });
+        const auto at = std::find_if(fleet.begin(), fleet.end(),
+                                     [&](const agent_view& a) { return a.name == change.agent; });
         at->assigned = change.assigned;
     }
     for (agent_view& a : fleet) {
@@ -474,8 +475,8 @@
         }
         out.loads += carry_out(p, fleet);
         for (const schema::model& m : next.models()) {
-            const bool served = document::find_model(current, m.name()) != nullptr &&
-                                is_resident(before, m.name());
+            const bool served =
+                document::find_model(current, m.name()) != nullptr && is_resident(before, m.name());
             if (served && !is_resident(fleet, m.name())) {
                 out.reason = "model `" + m.name() + "` would be unreachable during the change";
                 return out;
--- a/libs/placement/tests/test_plan.cpp
+++ b/libs/placement/tests/test_plan.cpp
@@ -108,7 +108,8 @@
     CHECK(domains.size() == 3);
 }
 
-TEST_CASE("a version change on full accelerators goes through a second replica, else it is refused") {
+TEST_CASE(
+    "a version change on full accelerators goes through a second replica, else it is refused") {
     schema::document one;
     *one.add_models() = model_of("m", "1", 60, 1, 2);
     schema::document two;
--- a/libs/queueing/src/queue.cpp
+++ b/libs/queueing/src/queue.cpp
@@ -18,9 +18,8 @@
 }
 
 std::uint32_t running_long(const queue& q) {
-    return static_cast<std::uint32_t>(
-        std::count_if(q.running.begin(), q.running.end(),
-                      [](const auto& r) { return r.second.counts_as_long; }));
+    return static_cast<std::uint32_t>(std::count_if(
+        q.running.begin(), q.running.end(), [](const auto& r) { return r.second.counts_as_long; }));
 }
 
 bool slot_free_for(const queue& q, const item& work) {
@@ -78,8 +77,8 @@
         soonest = std::min(soonest, remaining(r));
     }
     const double slot_rate = q.tokens_per_second / q.rules.slots;
-    const double seconds = static_cast<double>(ahead) / q.tokens_per_second +
-                           static_cast<double>(soonest) / slot_rate;
+    const double seconds =
+        static_cast<double>(ahead) / q.tokens_per_second + static_cast<double>(soonest) / slot_rate;
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
@@ -91,9 +90,8 @@
     if (q.running.size() < q.rules.slots || q.rules.arrival_order) {
         return std::nullopt;
     }
-    const bool short_waits =
-        std::any_of(q.waiting.begin(), q.waiting.end(),
-                    [&](const item& work) { return !is_long(q.rules, work); });
+    const bool short_waits = std::any_of(q.waiting.begin(), q.waiting.end(),
+                                         [&](const item& work) { return !is_long(q.rules, work); });
     if (!short_waits) {
         return std::nullopt;
     }
@@ -169,9 +167,10 @@
     if (seconds > 0.0 && r.produced_tokens > 0) {
         const double one_slot = r.produced_tokens / seconds;
         const double sample = one_slot * q.rules.slots;
-        q.tokens_per_second = q.tokens_per_second <= 0.0
-                                  ? sample
-                                  : q.tokens_per_second + rate_weight * (sample - q.tokens_per_second);
+        q.tokens_per_second =
+            q.tokens_per_second <= 0.0
+                ? sample
+                : q.tokens_per_second + rate_weight * (sample - q.tokens_per_second);
     }
     q.running.erase(found);
 }
--- a/libs/queueing/tests/test_queue.cpp
+++ b/libs/queueing/tests/test_queue.cpp
@@ -35,7 +35,8 @@
 std::vector<arrival> arrivals(bool with_long, unsigned seed, int count) {
     std::mt19937_64 rng(seed);
     std::vector<arrival> list;
-    const double mean_tokens = with_long ? 0.9 * short_tokens + 0.1 * long_job_tokens : short_tokens;
+    const double mean_tokens =
+        with_long ? 0.9 * short_tokens + 0.1 * long_job_tokens : short_tokens;
     std::exponential_distribution<double> gap(0.8 * 8.0 / (mean_tokens * token_seconds));
     double t = 0.0;
     for (int i = 0; i < count; ++i) {
@@ -44,9 +45,9 @@
         const std::uint32_t tokens = is_long ? long_job_tokens : short_tokens;
         // Estimates lie by up to a factor of two either way.
         const double lie = std::exp2(std::uniform_real_distribution<double>(-1.0, 1.0)(rng));
-        list.push_back({time_point(std::chrono::duration_cast<duration>(
-                            std::chrono::duration<double>(t))),
-                        tokens, static_cast<std::uint32_t>(tokens * lie)});
+        list.push_back(
+            {time_point(std::chrono::duration_cast<duration>(std::chrono::duration<double>(t))),
+             tokens, static_cast<std::uint32_t>(tokens * lie)});
     }
     return list;
 }
@@ -65,7 +66,8 @@
             next < load.size() && (ends.empty() || load[next].at <= ends.begin()->first);
         if (arrives) {
             now = load[next].at;
-            enqueue(q, {next, load[next].declared, priority::normal, now, time_point::max(), false});
+            enqueue(q,
+                    {next, load[next].declared, priority::normal, now, time_point::max(), false});
             ++next;
         } else {
             now = ends.begin()->first;
@@ -79,9 +81,9 @@
         while (const auto started = start_next(q, now)) {
             out.longest_wait = std::max(out.longest_wait, to_seconds(now - started->enqueued));
             const double seconds = load[started->id].tokens * token_seconds;
-            ends.emplace(now + std::chrono::duration_cast<duration>(
-                                   std::chrono::duration<double>(seconds)),
-                         started->id);
+            ends.emplace(
+                now + std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds)),
+                started->id);
         }
         CHECK(q.running.size() <= rules.slots);
     }
--- a/libs/routing/include/routing/router.h
+++ b/libs/routing/include/routing/router.h
@@ -53,7 +53,6 @@
     std::uint32_t slots = 1;
 };
 
-
 // The index of the candidate to use; nullopt if there is none.
 [[nodiscard]] std::optional<std::size_t> choose(std::span<const candidate> candidates,
                                                 const route_settings& settings, time_point now,
--- a/libs/routing/src/router.cpp
+++ b/libs/routing/src/router.cpp
@@ -79,7 +79,8 @@
                         time_point now) {
     const observation& o = *c.seen;
     const double per_token = o.token_seconds > 0.0 ? o.token_seconds : initial_token_seconds;
-    const double queued = static_cast<double>(o.outstanding_tokens) + others_tokens(o, settings, now);
+    const double queued =
+        static_cast<double>(o.outstanding_tokens) + others_tokens(o, settings, now);
     const double wait = queued * per_token / std::max<std::uint32_t>(1, c.slots);
     return wait + tokens * per_token + shown_delay(c, now);
 }
@@ -167,7 +168,8 @@
 }
 
 duration backoff(std::uint32_t retry, std::mt19937_64& rng) {
-    const duration ceiling = std::min<duration>(longest_backoff, first_backoff * (1LL << std::min(retry, 10U)));
+    const duration ceiling =
+        std::min<duration>(longest_backoff, first_backoff * (1LL << std::min(retry, 10U)));
     return duration(std::uniform_int_distribution<duration::rep>(1, ceiling.count())(rng));
 }
 
--- a/libs/routing/tests/test_router.cpp
+++ b/libs/routing/tests/test_router.cpp
@@ -59,7 +59,8 @@
         ++busy[e.upstream];
         const double factor = stragglers && slow(e.upstream, now) ? slow_factor : 1.0;
         const double jitter = std::uniform_real_distribution<double>(0.5, 1.5)(rng);
-        events.push({now + tokens * token_seconds * factor * jitter, 1, e.upstream, e.entry, e.sent});
+        events.push(
+            {now + tokens * token_seconds * factor * jitter, 1, e.upstream, e.entry, e.sent});
     };
     double t = 0.0;
     events.push({gap(rng), 0, 0, 0, 0.0});
@@ -93,8 +94,9 @@
         observation& o = seen[e.entry][e.upstream];
         const duration took = point(t) - point(e.sent);
         on_first_byte(o, took, point(t));
-        on_report(o, (waiting[e.upstream].size() + static_cast<std::size_t>(busy[e.upstream])) * tokens,
-                  point(t));
+        on_report(
+            o, (waiting[e.upstream].size() + static_cast<std::size_t>(busy[e.upstream])) * tokens,
+            point(t));
         on_done(o, tokens, took, point(t));
         latencies.push_back(t - e.sent);
         if (!waiting[e.upstream].empty()) {
--- a/libs/runtime/src/http_server.cpp
+++ b/libs/runtime/src/http_server.cpp
@@ -178,13 +178,13 @@
     stream_.expires_after(limits.idle);
     const auto [failed, size] = co_await http::async_read(stream_, buffer_, parser, as_result);
     if (failed == http::error::body_limit) {
-        co_await refuse(413, "the body is larger than " + std::to_string(limits.body_bytes) +
-                                 " bytes");
+        co_await refuse(413,
+                        "the body is larger than " + std::to_string(limits.body_bytes) + " bytes");
         co_return false;
     }
     if (failed == http::error::header_limit) {
-        co_await refuse(431, "the headers are larger than " + std::to_string(limits.header_bytes) +
-                                 " bytes");
+        co_await refuse(
+            431, "the headers are larger than " + std::to_string(limits.header_bytes) + " bytes");
         co_return false;
     }
     if (failed == http::error::end_of_stream || failed == beast::error::timeout) {
--- a/libs/runtime/src/log.cpp
+++ b/libs/runtime/src/log.cpp
@@ -63,10 +63,9 @@
         logging::add_console_log(std::cerr, logging::keywords::format = format,
                                  logging::keywords::auto_flush = true);
     } else {
-        logging::add_file_log(logging::keywords::file_name = file,
-                              logging::keywords::open_mode = std::ios::app,
-                              logging::keywords::format = format,
-                              logging::keywords::auto_flush = true);
+        logging::add_file_log(
+            logging::keywords::file_name = file, logging::keywords::open_mode = std::ios::app,
+            logging::keywords::format = format, logging::keywords::auto_flush = true);
     }
     logging::core::get()->add_global_attribute("TimeStamp", logging::attributes::utc_clock());
     if (!debug) {
--- a/libs/runtime/src/trace.cpp
+++ b/libs/runtime/src/trace.cpp
@@ -103,13 +103,12 @@
                             {"endTimeUnixNano", std::to_string(end_ns)},
                             {"attributes", list}};
     const json::object resource{
-        {"attributes",
-         json::array{json::object{{"key", "service.name"},
-                                  {"value", {{"stringValue", spans().program}}}}}}};
+        {"attributes", json::array{json::object{{"key", "service.name"},
+                                                {"value", {{"stringValue", spans().program}}}}}}};
     const json::object scope{{"spans", json::array{body}}};
     const json::object line{
-        {"resourceSpans", json::array{json::object{{"resource", resource},
-                                                   {"scopeSpans", json::array{scope}}}}}};
+        {"resourceSpans",
+         json::array{json::object{{"resource", resource}, {"scopeSpans", json::array{scope}}}}}};
     const std::string text = json::serialize(line);
     const std::lock_guard lock(spans().mutex);
     spans().out << text << "\n" << std::flush;
--- a/libs/settings/src/common.cpp
+++ b/libs/settings/src/common.cpp
@@ -100,15 +100,16 @@
     if (!key_file.empty()) {
         s.key = read_key_file(access, key_file);
     }
-    const bool some = !s.certificate_file.empty() || !s.private_key_file.empty() ||
-                      !s.authority_file.empty();
-    const bool all = !s.certificate_file.empty() && !s.private_key_file.empty() &&
-                     !s.authority_file.empty();
+    const bool some =
+        !s.certificate_file.empty() || !s.private_key_file.empty() || !s.authority_file.empty();
+    const bool all =
+        !s.certificate_file.empty() && !s.private_key_file.empty() && !s.authority_file.empty();
     if (some && !all) {
         access.fail("", "needs certificate_file, private_key_file and authority_file together");
     }
     if (!open && key_file.empty() && !all) {
-        reader.fail("access", "must name a key_file or certificates, or say open_without_key: true");
+        reader.fail("access",
+                    "must name a key_file or certificates, or say open_without_key: true");
     }
     (void)access.finish();
     return s;
--- a/libs/settings/src/reader.cpp
+++ b/libs/settings/src/reader.cpp
@@ -231,7 +231,8 @@
     if (n.IsDefined() && !n.IsMap()) {
         fail(key, "must be a map");
     }
-    return map_reader(state::child(*state_, n.IsDefined() && n.IsMap() ? n : YAML::Node(YAML::NodeType::Map)));
+    return map_reader(
+        state::child(*state_, n.IsDefined() && n.IsMap() ? n : YAML::Node(YAML::NodeType::Map)));
 }
 
 void map_reader::fail(std::string_view key, std::string message) {
--- a/libs/settings/tests/test_settings.cpp
+++ b/libs/settings/tests/test_settings.cpp
@@ -31,10 +31,10 @@
         int line;
         const char* key;
     };
-    for (const mistake& m : {mistake{"port: 80\nextra: 1\n", 2, "extra"},
-                             mistake{"port: many\n", 1, "port"}, mistake{"\nport: 70000\n", 2, "port"},
-                             mistake{"port: [1]\n", 1, "port"}, mistake{"other: 1\n", 1, "port"},
-                             mistake{"port: 1\nport: 2\n", 2, "port"}}) {
+    for (const mistake& m :
+         {mistake{"port: 80\nextra: 1\n", 2, "extra"}, mistake{"port: many\n", 1, "port"},
+          mistake{"\nport: 70000\n", 2, "port"}, mistake{"port: [1]\n", 1, "port"},
+          mistake{"other: 1\n", 1, "port"}, mistake{"port: 1\nport: 2\n", 2, "port"}}) {
         CAPTURE(m.text);
         const auto failed = read_port(m.text);
         REQUIRE(failed);
--- a/libs/storage/src/file.cpp
+++ b/libs/storage/src/file.cpp
@@ -94,8 +94,8 @@
                                             std::string_view bytes) {
     const std::filesystem::path temporary = file.string() + ".new";
     {
-        const descriptor fd(::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC,
-                                   private_file_mode));
+        const descriptor fd(
+            ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, private_file_mode));
         if (fd.get() < 0) {
             return system_error(temporary, "create");
         }
--- a/libs/storage/src/store.cpp
+++ b/libs/storage/src/store.cpp
@@ -35,7 +35,8 @@
     }
     Message m;
     const std::optional<record> found = record_at(value(bytes), 0);
-    if (!found || !m.ParseFromArray(found->payload.data(), static_cast<int>(found->payload.size()))) {
+    if (!found ||
+        !m.ParseFromArray(found->payload.data(), static_cast<int>(found->payload.size()))) {
         return storage_error{file.string(), 0, "checksum does not match: the file is damaged"};
     }
     return m;
@@ -122,8 +123,9 @@
     }
     const std::uint64_t intact = std::min<std::uint64_t>(offset, log.size());
     if (broken != mutation::accept_damage && find_record(log, intact + 1)) {
-        return storage_error{file.string(), intact,
-                             "checksum does not match and intact records follow: damaged, not torn"};
+        return storage_error{
+            file.string(), intact,
+            "checksum does not match and intact records follow: damaged, not torn"};
     }
     found.cut_bytes = log.size() - intact;
     return intact;
@@ -182,9 +184,8 @@
     if (!succeeded(synced)) {
         return error(synced);
     }
-    std::erase_if(found.entries, [&](const schema::log_entry& e) {
-        return e.index() <= found.snapshot.index();
-    });
+    std::erase_if(found.entries,
+                  [&](const schema::log_entry& e) { return e.index() <= found.snapshot.index(); });
     return std::unique_ptr<store>(new store(std::move(s)));
 }
 
