--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -604,6 +604,10 @@
     return n.leader != 0 && now - n.leader_heard < n.times.election_max;
 }
 
+bool ready_to_lead(const node& n) {
+    return n.current_role == role::leader && n.handed_out >= n.term_start;
+}
+
 time_point next_wakeup(const node& n) {
     return n.current_role == role::leader ? n.heartbeat_due : n.election_deadline;
 }
--- a/libs/consensus/tests/simulated_cluster.h
+++ b/libs/consensus/tests/simulated_cluster.h
@@ -193,6 +193,7 @@
             store(m, out);
             send(out);
             apply(id, out);
+            check_ready(m);
             finish_reads(m, out);
             maybe_compact(m);
         }
@@ -220,6 +221,7 @@
     std::size_t acknowledged_count = 0;
     std::uint64_t violations = 0;
     std::size_t reads_done = 0;
+    std::size_t ready_leaders = 0;
     log_index compact_after = 40;
 
 private:
@@ -319,10 +321,19 @@
         });
     }
 
+    // A leader that is ready to decide has applied all that was acknowledged before its election.
+    void check_ready(const member& m) {
+        if (ready_to_lead(*m.machine)) {
+            violations += m.applied.size() < acknowledged_at_election[m.machine->term] ? 1 : 0;
+            ++ready_leaders;
+        }
+    }
+
     void note_leader(const node& n) {
         if (n.current_role != role::leader) {
             return;
         }
+        acknowledged_at_election.try_emplace(n.term, acknowledged_count);
         const auto [known, fresh] = leaders.try_emplace(n.term, n.id);
         violations += known->second != n.id ? 1 : 0;
     }
@@ -354,6 +365,7 @@
     std::uint64_t last_context = 0;
     std::map<node_id, std::set<std::string>> awaited;
     std::map<term_number, node_id> leaders;
+    std::map<term_number, std::size_t> acknowledged_at_election;
 };
 
 }  // namespace burdockdeck::consensus::testing
--- a/libs/consensus/tests/test_node.cpp
+++ b/libs/consensus/tests/test_node.cpp
@@ -158,6 +158,29 @@
     CHECK(*c.leader() != old_leader);
 }
 
+TEST_CASE("a restarted leader is not ready before it has applied what was committed") {
+    cluster c(3, 4);
+    REQUIRE(c.run_until_leader(settle_time));
+    c.run_for(milliseconds(200));
+    (void)c.propose_at(*c.leader(), "kept");
+    c.run_for(milliseconds(500));
+    for (node_id id = 1; id <= 3; ++id) {
+        c.crash(id);
+    }
+    for (node_id id = 1; id <= 3; ++id) {
+        c.start(id);
+    }
+    bool seen_unready = false;
+    while (!(c.leader() && ready_to_lead(*c.nodes[*c.leader()].machine))) {
+        c.run_one();
+        seen_unready = seen_unready || (c.leader() && c.nodes[*c.leader()].applied.empty());
+    }
+    CHECK(seen_unready);
+    CHECK(c.nodes[*c.leader()].applied.size() == 1);
+    CHECK(c.violations == 0);
+    CHECK(c.ready_leaders > 0);
+}
+
 TEST_CASE("a node that hears nothing does not raise the term of a healthy cluster") {
     cluster c(3, 2);
     REQUIRE(c.run_until_leader(settle_time));
--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -70,7 +70,7 @@
 }
 
 bool raft_host::is_leader() const {
-    return node_ && node_->current_role == consensus::role::leader && !storage_failed_;
+    return node_ && consensus::ready_to_lead(*node_) && !storage_failed_ && !stopped_;
 }
 
 bool raft_host::isolated() const {
@@ -212,7 +212,7 @@
 }
 
 void raft_host::read_barrier(read_callback done) {
-    if (!node_) {
+    if (!node_ || stopped_) {
         done(false);
         return;
     }
@@ -240,10 +240,8 @@
         rpc::read_index_request request;
         auto answer = co_await runtime::call_unary<rpc::read_index_reply>(
             on_.context(), access_, std::move(request), read_index_timeout, start);
-        if (*alive) {
-            const bool confirmed = succeeded(answer) && value(answer).leader();
-            wait_for(confirmed, confirmed ? value(answer).index() : 0);
-        }
+        const bool confirmed = *alive && succeeded(answer) && value(answer).leader();
+        wait_for(confirmed, confirmed ? value(answer).index() : 0);
     });
 }
 
@@ -267,6 +265,17 @@
     stopped_ = true;
     *alive_ = false;
     timer_.cancel();
+    fail_pending();
+    std::map<std::uint64_t, std::function<void(bool, std::uint64_t)>> reads;
+    reads.swap(reads_);
+    for (auto& [context, done] : reads) {
+        done(false, 0);
+    }
+    std::vector<waiting_read> waiting;
+    waiting.swap(waiting_reads_);
+    for (const waiting_read& w : waiting) {
+        w.done(false);
+    }
 }
 
 // Many events share one round, so that one sync and one broadcast serve them all.
--- a/libs/control/src/raft_host.h
+++ b/libs/control/src/raft_host.h
@@ -38,6 +38,7 @@
     [[nodiscard]] const schema::identity& identity() const;
     // The node, or null before this instance belongs to a cluster.
     [[nodiscard]] const consensus::node* node() const;
+    // True for a leader whose state holds all that was committed before its election.
     [[nodiscard]] bool is_leader() const;
     // True while neither leader nor in contact with one.
     [[nodiscard]] bool isolated() const;
--- a/libs/entry/src/run_stream.cpp
+++ b/libs/entry/src/run_stream.cpp
@@ -20,6 +20,7 @@
     request_ = std::move(request);
     access.sign(context_);
     stub.async()->run(&context_, &request_, this);
+    AddHold();
     reading_ = true;
     StartRead(&incoming_);
     StartCall();
@@ -33,7 +34,7 @@
             if (!frames_.empty()) {
                 rpc::frame f = std::move(frames_.front());
                 frames_.pop_front();
-                if (!reading_ && !done_) {
+                if (!reading_ && !closed_) {
                     reading_ = true;
                     StartRead(&incoming_);
                 }
@@ -57,6 +58,14 @@
 
 void run_stream::cancel() {
     context_.TryCancel();
+    {
+        const std::lock_guard lock(mutex_);
+        if (reading_ || closed_) {
+            return;
+        }
+        closed_ = true;
+    }
+    RemoveHold();
 }
 
 // Wakes the reader. The post runs after the reader has begun to wait, since both use one loop.
@@ -73,6 +82,9 @@
     std::unique_lock lock(mutex_);
     reading_ = false;
     if (!ok) {
+        closed_ = true;
+        lock.unlock();
+        RemoveHold();
         return;
     }
     frames_.push_back(std::move(incoming_));
--- a/libs/entry/src/run_stream.h
+++ b/libs/entry/src/run_stream.h
@@ -50,7 +50,10 @@
     std::mutex mutex_;
     std::deque<rpc::frame> frames_;
     rpc::frame incoming_;
+    // A read is under way. While none is, a hold keeps the call from ending under our feet.
     bool reading_ = false;
+    // No further read may be started; the hold is given back.
+    bool closed_ = false;
     bool done_ = false;
     bool waiting_ = false;
     grpc::Status status_;
--- a/libs/placement/src/plan.cpp
+++ b/libs/placement/src/plan.cpp
@@ -429,6 +429,23 @@
     return "";
 }
 
+// The first agent whose models, by the sizes that `d` declares, are larger than its memory. A
+// document may declare another size for a version that is loaded already.
+std::string overfull_agent(const schema::document& d, const std::vector<agent_view>& fleet) {
+    for (const agent_view& a : fleet) {
+        std::uint64_t used = 0;
+        for (const instance& i : a.resident) {
+            const schema::model* m = document::find_model(d, i.model);
+            used += m == nullptr ? 0 : document::footprint_mb(*m);
+        }
+        if (used > a.memory_mb) {
+            return "agent `" + a.name + "` has " + std::to_string(a.memory_mb) +
+                   " MB, its models would need " + std::to_string(used) + " MB";
+        }
+    }
+    return "";
+}
+
 }  // namespace
 
 std::uint32_t wanted_replicas(const schema::model& m, double load, const plan_settings& settings) {
@@ -470,6 +487,9 @@
         const plan_result p = plan(next, fleet, {}, {}, memory, time_point{});
         if (p.changes.empty()) {
             out.reason = missing_replicas(next, fleet);
+            if (out.reason.empty()) {
+                out.reason = overfull_agent(next, fleet);
+            }
             out.fits = out.reason.empty();
             return out;
         }
--- a/libs/placement/tests/test_plan.cpp
+++ b/libs/placement/tests/test_plan.cpp
@@ -132,6 +132,18 @@
     CHECK(t.reason.find("`big`") != std::string::npos);
 }
 
+TEST_CASE("a loaded version that is declared larger than its agent is refused") {
+    schema::document one;
+    *one.add_models() = model_of("m", "1", 30, 1, 1);
+    schema::document two;
+    *two.add_models() = model_of("m", "1", 500, 1, 1);
+    agent_view a = agent_of("a", "A", 100);
+    a.assigned = a.resident = {{"m", "1"}};
+    const trial_result t = try_document(one, two, {a});
+    CHECK(!t.fits);
+    CHECK(t.reason.find("`a`") != std::string::npos);
+}
+
 TEST_CASE("noise in demand moves nothing; lasting change scales up at once and down late") {
     schema::document d;
     *d.add_models() = model_of("m", "1", 10, 1, 4);
