--- a/libs/agent/src/attempt.cpp
+++ b/libs/agent/src/attempt.cpp
@@ -46,7 +46,7 @@
     return streams_.empty() && unattached_since_ != time_point{};
 }
 
-void attempt::begin_answer(unsigned http_status, const std::string& content_type) {
+void attempt::begin_answer(unsigned http_status, const std::string& content_type, bool announce) {
     {
         const std::lock_guard lock(mutex_);
         if (status_ != 0) {
@@ -55,10 +55,12 @@
         status_ = http_status;
         content_type_ = content_type;
     }
-    pump_all();
+    if (announce) {
+        pump_all();
+    }
 }
 
-void attempt::append(std::string_view bytes) {
+void attempt::append(std::string_view bytes, bool announce) {
     if (bytes.empty()) {
         return;
     }
@@ -71,7 +73,9 @@
         checksum_.update(bytes);
         events_ += count_events(bytes);
     }
-    pump_all();
+    if (announce) {
+        pump_all();
+    }
 }
 
 void attempt::end(rpc::run_outcome outcome, const std::string& message, duration retry_after) {
--- a/libs/agent/src/attempt.h
+++ b/libs/agent/src/attempt.h
@@ -48,8 +48,10 @@
     [[nodiscard]] bool orphaned_since(time_point& since) const;
 
     // --- Commands
-    void begin_answer(unsigned status, const std::string& content_type);
-    void append(std::string_view bytes);
+    // With `announce`, status and data go out at once; without, they wait for the next change that
+    // does, so that a short answer takes a single frame.
+    void begin_answer(unsigned status, const std::string& content_type, bool announce);
+    void append(std::string_view bytes, bool announce);
     // The end of the attempt. Only the first call counts.
     void end(rpc::run_outcome outcome, const std::string& message, duration retry_after = {});
     void attach(const std::shared_ptr<answer_stream>& stream);
--- a/libs/agent/src/work.cpp
+++ b/libs/agent/src/work.cpp
@@ -18,6 +18,8 @@
 constexpr duration upstream_silence = std::chrono::seconds(60);
 constexpr duration cancel_timeout = std::chrono::seconds(2);
 constexpr duration min_retry_after = std::chrono::milliseconds(50);
+// An answer up to this size is sent when it is whole, in one frame.
+constexpr std::size_t small_answer_bytes = 64 * 1024;
 // An engine's broken stream is resumed this often.
 constexpr std::uint32_t max_resumes = 3;
 
@@ -139,7 +141,7 @@
         events_ = content_type_.starts_with("text/event-stream");
         const bool refused = a_->request.kind() == rpc::work_completion && engine_refused(status);
         if (!refused) {
-            a_->begin_answer(status, content_type_);
+            a_->begin_answer(status, content_type_, events_);
         }
     }
 
@@ -152,13 +154,13 @@
             return false;
         }
         if (!events_) {
-            a_->append(bytes);
+            a_->append(bytes, a_->answer_bytes() > small_answer_bytes);
             return true;
         }
         pending_ += bytes;
         const std::size_t whole = pending_.rfind("\n\n");
         if (whole != std::string::npos) {
-            a_->append(std::string_view(pending_).substr(0, whole + 2));
+            a_->append(std::string_view(pending_).substr(0, whole + 2), true);
             pending_.erase(0, whole + 2);
         }
         return true;
@@ -166,7 +168,7 @@
 
     // The rest of a whole answer that does not end with an event.
     void finish() {
-        a_->append(pending_);
+        a_->append(pending_, false);
     }
 
     [[nodiscard]] unsigned status() const {
@@ -211,6 +213,10 @@
         r.refused = a->request.kind() == rpc::work_completion && engine_refused(sink.status());
         r.message = sink.refusal();
         sink.finish();
+        if (!r.refused) {
+            // The caller need not wait for the control loop.
+            a->end(rpc::run_completed, "");
+        }
     } else {
         r.not_sent = error(called).not_sent;
         r.message = error(called).message;
--- a/libs/document/tests/test_document.cpp
+++ b/libs/document/tests/test_document.cpp
@@ -2,6 +2,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include "document/document.h"
 
 using namespace burdockdeck;
@@ -72,3 +74,25 @@
         good, "services:", "  - {name: map-reader, version: \"1\", memory_mb: 1}\nservices:");
     CHECK(refused(twice).message.find("twice") != std::string::npos);
 }
+
+TEST_CASE("random changes of a good document are refused with a place, or parse to a sound one") {
+    const unsigned seed = 22;
+    MESSAGE("seed " << seed);
+    std::mt19937 rng(seed);
+    for (int round = 0; round < 5000; ++round) {
+        std::string text = good;
+        for (unsigned i = 0; i < 1 + rng() % 4; ++i) {
+            text[rng() % text.size()] = static_cast<char>(rng() % 128);
+        }
+        const auto parsed = document::parse("d.yaml", text);
+        if (!succeeded(parsed)) {
+            CHECK(!error(parsed).message.empty());
+            continue;
+        }
+        for (const schema::model& m : value(parsed).models()) {
+            CHECK(m.memory_mb() > 0);
+            CHECK(m.min_replicas() >= 1);
+            CHECK(m.max_replicas() >= m.min_replicas());
+        }
+    }
+}
--- /dev/null
+++ b/libs/entry/tests/test_work.cpp
@@ -0,0 +1,149 @@
+// What callers' requests are understood as, and what is refused with which status.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "document/document.h"
+#include "work.h"
+
+using namespace burdockdeck;
+using namespace burdockdeck::entry;
+
+namespace {
+
+schema::document sample_document() {
+    auto parsed = document::parse("d.yaml", R"(environment: production
+label: "1"
+models:
+  - name: reader
+    version: "3"
+    memory_mb: 10
+    priority: high
+    adapters: [{name: perak, memory_mb: 1}]
+services:
+  - name: orders
+    routes:
+      - {method: POST, path: /, idempotent: false}
+      - {method: POST, path: /quote, idempotent: true}
+)");
+    REQUIRE(succeeded(parsed));
+    return value(parsed);
+}
+
+entry_settings sample_settings() {
+    entry_settings s;
+    s.longest_deadline = std::chrono::minutes(1);
+    s.default_deadline = std::chrono::seconds(30);
+    return s;
+}
+
+result<work, refusal> understand_it(runtime::http_request r) {
+    return understand(r, sample_document(), sample_settings(), time_point{});
+}
+
+runtime::http_request completion(std::string body, runtime::header_list headers = {}) {
+    runtime::http_request r;
+    r.method = "POST";
+    r.target = "/v1/completions";
+    r.body = std::move(body);
+    r.headers = std::move(headers);
+    return r;
+}
+
+unsigned refused_status(runtime::http_request r) {
+    const auto understood = understand_it(std::move(r));
+    return succeeded(understood) ? 0 : error(understood).status;
+}
+
+}  // namespace
+
+TEST_CASE("a completion: model, adapter, priority, deadline, trace") {
+    const auto understood = understand_it(completion(
+        R"({"model":"reader:perak","prompt":"x","max_tokens":7,"stream":true})",
+        {{"X-Request-Id", "id-1"},
+         {"Burdockdeck-Deadline-Ms", "1500"},
+         {"traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"}}));
+    REQUIRE(succeeded(understood));
+    const work& w = value(understood);
+    CHECK(w.request_id == "id-1");
+    CHECK(w.target == "reader");
+    CHECK(w.adapter == "perak");
+    CHECK(w.stream);
+    CHECK(w.max_tokens == 7);
+    CHECK(w.priority == schema::priority_high);
+    CHECK(w.deadline == time_point{} + std::chrono::milliseconds(1500));
+    CHECK(w.span.trace_id == "0af7651916cd43dd8448eb211c80319c");
+    CHECK(w.idempotent);
+}
+
+TEST_CASE("a service call: idempotence by its route, key only where it matters") {
+    runtime::http_request r;
+    r.method = "POST";
+    r.target = "/services/orders/book?x=1";
+    r.headers = {{"Idempotency-Key", "k"}};
+    const work booking = value(understand_it(r));
+    CHECK(!booking.idempotent);
+    CHECK(booking.key == "orders/k");
+    CHECK(booking.path == "/book?x=1");
+    r.target = "/services/orders/quote";
+    const work quote = value(understand_it(r));
+    CHECK(quote.idempotent);
+    CHECK(quote.key.empty());
+}
+
+TEST_CASE("bad requests are refused with their status") {
+    CHECK(refused_status(completion("nonsense")) == 400);
+    CHECK(refused_status(completion("[]")) == 400);
+    CHECK(refused_status(completion("{}")) == 400);
+    CHECK(refused_status(completion(R"({"model":"other"})")) == 404);
+    CHECK(refused_status(completion(R"({"model":"reader:kedah"})")) == 404);
+    CHECK(refused_status(completion(R"({"model":"reader","max_tokens":0})")) == 400);
+    CHECK(refused_status(completion(R"({"model":"reader","max_tokens":"many"})")) == 400);
+    CHECK(refused_status(completion(R"({"model":"reader","stream":1})")) == 400);
+    const std::string good = R"({"model":"reader"})";
+    CHECK(refused_status(completion(good)) == 0);
+    for (const char* deadline : {"0", "-5", "soon", "99999999"}) {
+        CHECK(refused_status(completion(good, {{"Burdockdeck-Deadline-Ms", deadline}})) == 400);
+    }
+    CHECK(refused_status(completion(good, {{"Burdockdeck-Priority", "urgent"}})) == 400);
+    runtime::http_request get = completion(good);
+    get.method = "GET";
+    CHECK(refused_status(get) == 405);
+    runtime::http_request service;
+    service.method = "POST";
+    service.target = "/services/unknown/x";
+    CHECK(refused_status(service) == 404);
+    service.target = "/services/orders/book";
+    service.headers = {{"Idempotency-Key", std::string(300, 'k')}};
+    CHECK(refused_status(service) == 400);
+}
+
+TEST_CASE("malformed request ids are replaced") {
+    runtime::http_request r;
+    for (const std::string& bad : {std::string("a b"), std::string(200, 'x'), std::string("\x01")}) {
+        r.headers = {{"X-Request-Id", bad}};
+        CHECK(request_id_of(r) != bad);
+    }
+}
+
+TEST_CASE("random bytes in any place never do more than be refused") {
+    const unsigned seed = 20;
+    MESSAGE("seed " << seed);
+    std::mt19937 rng(seed);
+    const std::string good = R"({"model":"reader:perak","prompt":"x","max_tokens":7,"stream":true})";
+    for (int round = 0; round < 20000; ++round) {
+        std::string body = good;
+        for (unsigned i = 0; i < 1 + rng() % 6; ++i) {
+            body[rng() % body.size()] = static_cast<char>(rng());
+        }
+        body.resize(rng() % (body.size() + 1));
+        const auto understood = understand_it(completion(body));
+        if (succeeded(understood)) {
+            CHECK(value(understood).target == "reader");
+        } else {
+            CHECK(error(understood).status >= 400);
+            CHECK(error(understood).status < 500);
+        }
+    }
+}
--- a/libs/load/src/experiment.cpp
+++ b/libs/load/src/experiment.cpp
@@ -130,8 +130,8 @@
                                        {"first_byte_ms", quantiles_json(c.first_bytes)},
                                        {"token_gap_ms", quantiles_json(c.token_gaps)}});
     }
-    return json::serialize(json::object{
-        {"experiment", r.experiment}, {"seconds", r.seconds}, {"classes", classes}});
+    return json::serialize(
+        json::object{{"experiment", r.experiment}, {"seconds", r.seconds}, {"classes", classes}});
 }
 
 std::string to_svg(const report& r) {
@@ -152,11 +152,11 @@
         << "\" y=\"20\">" << r.experiment << ": latency (log, ms) by share of requests</text>\n";
     for (std::size_t k = 0; k < r.classes.size(); ++k) {
         const class_report& c = r.classes[k];
-        svg << "<polyline fill=\"none\" stroke=\"" << colours[k % colours.size()]
-            << "\" points=\"";
+        svg << "<polyline fill=\"none\" stroke=\"" << colours[k % colours.size()] << "\" points=\"";
         for (int step = 0; step <= 90; ++step) {
             const double nines = step / 30.0;
-            const double seconds = std::max(1e-4, quantile(c.latencies, 1.0 - std::pow(10, -nines)));
+            const double seconds =
+                std::max(1e-4, quantile(c.latencies, 1.0 - std::pow(10, -nines)));
             const double x = margin + (width - 2 * margin) * nines / 3.0;
             const double y =
                 height - margin - (height - 2 * margin) * std::log10(seconds / 1e-4) / decades;
@@ -171,8 +171,8 @@
             << "\" y=\"" << height - margin + 20 << "\">" << shares[i] << "</text>\n";
     }
     for (double ms = 0.1; ms <= longest * milliseconds_per_second; ms *= 10) {
-        const double y = height - margin -
-                         (height - 2 * margin) * std::log10(ms / 1e3 / 1e-4) / decades;
+        const double y =
+            height - margin - (height - 2 * margin) * std::log10(ms / 1e3 / 1e-4) / decades;
         svg << "<text x=\"5\" y=\"" << y << "\">" << ms << "</text>\n";
     }
     svg << "</svg>\n";
--- a/libs/load/tests/test_experiment.cpp
+++ b/libs/load/tests/test_experiment.cpp
@@ -27,13 +27,15 @@
     std::string name = (std::filesystem::temp_directory_path() / "experiment-XXXXXX").string();
     const int fd = ::mkstemp(name.data());
     REQUIRE(fd >= 0);
-    for (const char* text : {"name: x\ntargets: [127.0.0.1:1]\nphases: [{rate: 1}]\n",
-                             "name: x\ntargets: [host:1]\nclasses: [{name: a}]\nphases: [{rate: 1}]\n",
-                             "name: x\ntargets: [127.0.0.1:1]\nclasses: [{name: a}]\n"}) {
+    for (const char* text :
+         {"name: x\ntargets: [127.0.0.1:1]\nphases: [{rate: 1}]\n",
+          "name: x\ntargets: [host:1]\nclasses: [{name: a}]\nphases: [{rate: 1}]\n",
+          "name: x\ntargets: [127.0.0.1:1]\nclasses: [{name: a}]\n"}) {
         std::ofstream(name) << text;
         CHECK(!succeeded(load_experiment(name)));
     }
-    std::ofstream(name) << "name: x\ntargets: [127.0.0.1:1]\nclasses: [{name: a}]\nphases: [{rate: 1}]\n";
+    std::ofstream(name)
+        << "name: x\ntargets: [127.0.0.1:1]\nclasses: [{name: a}]\nphases: [{rate: 1}]\n";
     CHECK(succeeded(load_experiment(name)));
     std::filesystem::remove(name);
 }
--- a/libs/runtime/src/http_server.cpp
+++ b/libs/runtime/src/http_server.cpp
@@ -111,6 +111,10 @@
 
 private:
     static constexpr std::chrono::seconds write_timeout{30};
+    // How much of a refused request is read, and for how long, so that its caller gets the answer.
+    static constexpr std::size_t read_off_limit_bytes = std::size_t{256} << 20U;
+    static constexpr std::size_t read_off_chunk_bytes = 64 * 1024;
+    static constexpr std::chrono::seconds read_off_time{3};
 
     template <class Message>
     void fill_head(Message& message, const http_response& r) {
@@ -161,13 +165,15 @@
     // Lets the caller read the answer before the unread rest of its request resets the connection.
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    char rest[4096];
-    stream_.expires_after(std::chrono::seconds(1));
-    for (int i = 0; i < 64; ++i) {
+    std::vector<char> rest(read_off_chunk_bytes);
+    std::size_t total = 0;
+    stream_.expires_after(read_off_time);
+    while (total < read_off_limit_bytes) {
         const auto [failed, got] = co_await stream_.async_read_some(asio::buffer(rest), as_result);
         if (failed) {
             break;
         }
+        total += got;
     }
 }
 
--- a/tests/scenarios/run.py
+++ b/tests/scenarios/run.py
@@ -29,8 +29,9 @@
 class Fleet:
     """The processes of one scenario and all that is known of them."""
 
-    def __init__(self, binaries, folder):
+    def __init__(self, binaries, folder, debug=True):
         self.binaries = binaries
+        self.debug = "true" if debug else "false"
         self.folder = folder
         self.address = f"127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1"
         self.reserved = []
@@ -46,6 +47,7 @@
         self.history = []
         self.bookings = {}
         self.seen_starts = {}
+        self.tls = False
         self.key_file = os.path.join(folder, "key")
         with open(self.key_file, "w", encoding="ascii") as f:
             f.write("scenario-key-0123456789\n")
@@ -66,12 +68,50 @@
 
     def write_settings(self, name, lines):
         path = os.path.join(self.folder, name + ".yaml")
-        common = [f"name: {name}", f"access: {{key_file: {self.key_file}}}",
-                  f"log: {{file: {self.folder}/{name}.log, debug: true}}"]
+        common = [f"name: {name}", f"access: {{{self.access(name)}}}",
+                  f"log: {{file: {self.folder}/{name}.log, debug: {self.debug}}}"]
         with open(path, "w", encoding="utf-8") as f:
             f.write("\n".join(common + lines) + "\n")
         return path
 
+    def pem(self, name):
+        return os.path.join(self.folder, name + ".pem")
+
+    def openssl(self, *words):
+        subprocess.run(["openssl", *words], check=True, capture_output=True)
+
+    def make_authority(self):
+        """A certificate authority of this scenario alone."""
+        self.tls = True
+        self.openssl("req", "-x509", "-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1",
+                     "-nodes", "-days", "2", "-subj", "/CN=scenario authority",
+                     "-keyout", self.pem("authority-key"), "-out", self.pem("authority"))
+
+    def make_certificate(self, name, days=2):
+        self.openssl("req", "-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes",
+                     "-subj", f"/CN={name}", "-addext", f"subjectAltName=IP:{self.address}",
+                     "-keyout", self.pem(name + "-key"), "-out", self.pem(name + "-request"))
+        self.openssl("x509", "-req", "-in", self.pem(name + "-request"), "-copy_extensions", "copy",
+                     "-CA", self.pem("authority"), "-CAkey", self.pem("authority-key"),
+                     "-days", str(days), "-out", self.pem(name))
+
+    def access(self, name):
+        if not self.tls:
+            return f"key_file: {self.key_file}"
+        self.make_certificate(name)
+        return (f"key_file: {self.key_file}, certificate_file: {self.pem(name)}, "
+                f"private_key_file: {self.pem(name + '-key')}, "
+                f"authority_file: {self.pem('authority')}")
+
+    def cli_access(self, key_file=None, certificate="operator"):
+        words = ["--key_file", key_file or self.key_file]
+        if self.tls:
+            if not os.path.exists(self.pem("operator")):
+                self.make_certificate("operator")
+            words += ["--certificate_file", self.pem(certificate), "--private_key_file",
+                      self.pem(certificate + "-key"), "--authority_file", self.pem("authority")]
+        return words
+
     def spawn(self, name, command=None):
         self.release_ports()
         command = command or self.commands[name]
@@ -151,10 +191,10 @@
 
     # --- Operators
 
-    async def cli(self, *words, control=None, timeout_ms=15000):
+    async def cli(self, *words, control=None, timeout_ms=15000, access=None):
         control = control or self.control_list().replace(" ", "")
         command = [self.binary("burdockdeck"), *words, "--json", "--control", control,
-                   "--key_file", self.key_file, f"--timeout_ms={timeout_ms}"]
+                   *(access or self.cli_access()), f"--timeout_ms={timeout_ms}"]
         process = await asyncio.create_subprocess_exec(
             *command, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
         out, err = await process.communicate()
@@ -211,7 +251,7 @@
             if not words:
                 continue
             body = []
-            if words[0] == "document":
+            if words[0] in ("document", "send"):
                 for _, inner in lines:
                     if inner.strip() == "end":
                         break
@@ -361,6 +401,52 @@
 
     # --- Operators
 
+    async def do_tls(self, _, __):
+        self.fleet.make_authority()
+
+    async def do_intruder(self, words, _):
+        """An operator who may not give orders: with a wrong key or an expired certificate."""
+        if words[0] == "wrong":
+            path = os.path.join(self.fleet.folder, "wrong-key")
+            with open(path, "w", encoding="ascii") as f:
+                f.write("another-key-0123456789\n")
+            access = self.fleet.cli_access(key_file=path)
+        else:
+            self.fleet.make_certificate("expired", days=-1)
+            access = self.fleet.cli_access(certificate="expired")
+        code, reply = await self.fleet.cli("drain", "g1", access=access, timeout_ms=3000)
+        if code == 0 or reply.get("done"):
+            raise Failure(f"the order was taken: {reply}")
+        status = await self.fleet.status()
+        if any(a["name"] == "g1" and a["standing"] != "serving" for a in status["agents"]):
+            raise Failure("the order was carried out")
+
+    async def do_send(self, words, body):
+        """send ENTRY METHOD PATH STATUS OUTCOME [HEADER=VALUE...] with the body up to `end`."""
+        entry, method, path, status, outcome = words[:5]
+        text = body.rstrip("\n").replace("<large>", "x" * (17 << 20))
+        answer = await call(self.fleet.entries[entry], method, path, text.encode(),
+                            options_of(words[5:]), 20.0)
+        got = answer.headers.get("burdockdeck-outcome", "-")
+        if answer.status != int(status) or got != outcome:
+            raise Failure(f"{answer.status} {got}: {answer.body[:300]} {answer.trouble}")
+
+    async def do_leave(self, words, _):
+        """leave ENTRY: a caller that closes its connection in the middle of a stream."""
+        reader, writer = await asyncio.open_connection(*self.fleet.entries[words[0]])
+        body = json.dumps({"model": "alpha", "prompt": "x", "max_tokens": 100000,
+                           "stream": True}).encode()
+        writer.write(b"POST /v1/completions HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+                     + body)
+        await reader.readuntil(b"data: ")
+        writer.close()
+
+        async def freed():
+            records = [await self.fleet.record_of(n) for n, u in self.fleet.upstreams.items()
+                       if u["kind"] == "engine"]
+            return all(r and r["running"] == 0 for r in records)
+        await self.fleet.wait_for("the engines to be free again", freed)
+
     async def operate(self, *words):
         code, reply = await self.fleet.cli(*words)
         if code != 0:
