One frame for the server programs, one way to pass calls on, work dropped before it is too late

The queue refuses or drops work once less than 0.8 of its expected time is left. Ruled out: a larger retry budget (the requests had no time left).

--- a/apps/entry/main.cpp
+++ b/apps/entry/main.cpp
@@ -1,49 +1,10 @@
 // burdockdeck-entry: takes callers' requests.
-#include <gflags/gflags.h>
-
-#include <iostream>
-
 #include "entry/server.h"
 #include "entry/settings.h"
-#include "runtime/log.h"
-#include "runtime/loop.h"
-#include "runtime/trace.h"
-
-DEFINE_string(settings, "", "path of the YAML settings file");
-DEFINE_bool(check, false, "check the settings and exit");
-
-namespace {
-
-enum exit_code { exit_done = 0, exit_failed = 1, exit_usage = 2 };
-
-}  // namespace
+#include "program/program.h"
 
 int main(int argc, char** argv) {
     using namespace burdockdeck;
-    gflags::SetUsageMessage("burdockdeck-entry --settings FILE [--check]");
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_settings.empty()) {
-        std::cerr << "--settings is missing\n";
-        return exit_usage;
-    }
-    const auto loaded = entry::load_settings(FLAGS_settings);
-    if (!succeeded(loaded)) {
-        std::cerr << settings::to_text(error(loaded)) << "\n";
-        return exit_usage;
-    }
-    if (FLAGS_check) {
-        std::cout << FLAGS_settings << ": in order\n";
-        return exit_done;
-    }
-    const entry::entry_settings& s = value(loaded);
-    runtime::open_log("entry", s.log.file, s.log.debug);
-    runtime::open_spans("entry", s.log.span_file);
-    auto server = entry::entry_server::create(s);
-    if (!succeeded(server)) {
-        std::cerr << error(server).message << "\n";
-        return exit_failed;
-    }
-    runtime::run_until_signal(
-        [&](std::function<void()> finished) { value(server)->stop(std::move(finished)); });
-    return exit_done;
+    return program::run_server("entry", argc, argv, entry::load_settings,
+                               entry::entry_server::create);
 }
--- a/libs/client/src/control_client.cpp
+++ b/libs/client/src/control_client.cpp
@@ -21,6 +21,12 @@
 constexpr duration watch_silence = std::chrono::milliseconds(2500);
 constexpr duration watch_check_interval = std::chrono::milliseconds(250);
 
+using async_stub = rpc::control::StubInterface::async_interface;
+
+template <class Request, class Reply>
+using unary_call = void (async_stub::*)(grpc::ClientContext*, const Request*, Reply*,
+                                        std::function<void(grpc::Status)>);
+
 // One open watch. Its callbacks run on gRPC threads and post to the loop.
 class watch_call : public grpc::ClientReadReactor<schema::table_update>,
                    public std::enable_shared_from_this<watch_call> {
@@ -89,6 +95,24 @@
         return *i.stub;
     }
 
+    // Asks the preferred instance once, and leaves it if it does not answer.
+    template <class Reply, class Request>
+    asio::awaitable<result<Reply, rpc_error>> ask(
+        Request request, std::type_identity_t<unary_call<Request, Reply>> method) {
+        const auto self = shared_from_this();
+        const std::size_t index = preferred;
+        rpc::control::Stub& to = stub(index);
+        const auto start = [&to, method](auto... arguments) {
+            (to.async()->*method)(arguments...);
+        };
+        auto answer = co_await runtime::call_unary<Reply>(on.context(), access, std::move(request),
+                                                          call_timeout, start);
+        if (!succeeded(answer)) {
+            leave(index);
+        }
+        co_return answer;
+    }
+
     // Leaves an instance's connection, which may have gone silent, and prefers the next instance.
     void leave(std::size_t index) {
         instances[index].stub.reset();
@@ -207,14 +231,10 @@
         const std::size_t index = s->preferred;
         rpc::submit_request request;
         *request.mutable_command() = command;
-        rpc::control::Stub* stub = &s->stub(index);
-        const auto start = [stub](auto... arguments) { stub->async()->submit(arguments...); };
-        auto answer = co_await runtime::call_unary<rpc::submit_reply>(
-            s->on.context(), s->access, std::move(request), call_timeout, start);
+        auto answer = co_await s->ask<rpc::submit_reply>(std::move(request), &async_stub::submit);
         if (!succeeded(answer)) {
             last = error(answer);
             sent = sent || !last.not_sent;
-            s->leave(index);
         } else if (value(answer).status() == rpc::submit_reply::applied) {
             co_return value(answer).reply();
         } else {
@@ -231,15 +251,10 @@
 asio::awaitable<result<rpc::renew_reply, rpc_error>> control_client::renew(
     rpc::renew_request request) {
     const std::shared_ptr<state> s = state_;
-    const std::size_t index = s->preferred;
-    rpc::control::Stub* stub = &s->stub(index);
-    const auto start = [stub](auto... arguments) { stub->async()->renew(arguments...); };
-    auto answer = co_await runtime::call_unary<rpc::renew_reply>(
-        s->on.context(), s->access, std::move(request), call_timeout, start);
-    if (!succeeded(answer)) {
-        s->leave(index);
-    } else if (value(answer).status() == rpc::renew_reply::no_leader) {
-        s->preferred = (index + 1) % s->instances.size();
+    const std::size_t asked = s->preferred;
+    auto answer = co_await s->ask<rpc::renew_reply>(std::move(request), &async_stub::renew);
+    if (succeeded(answer) && value(answer).status() == rpc::renew_reply::no_leader) {
+        s->preferred = (asked + 1) % s->instances.size();
     }
     co_return answer;
 }
@@ -247,15 +262,7 @@
 asio::awaitable<result<rpc::permit_reply, rpc_error>> control_client::permit(
     rpc::permit_request request) {
     const std::shared_ptr<state> s = state_;
-    const std::size_t index = s->preferred;
-    rpc::control::Stub* stub = &s->stub(index);
-    const auto start = [stub](auto... arguments) { stub->async()->permit(arguments...); };
-    auto answer = co_await runtime::call_unary<rpc::permit_reply>(
-        s->on.context(), s->access, std::move(request), call_timeout, start);
-    if (!succeeded(answer)) {
-        s->leave(index);
-    }
-    co_return answer;
+    co_return co_await s->ask<rpc::permit_reply>(std::move(request), &async_stub::permit);
 }
 
 void control_client::watch(const std::string& name, std::function<void(const table&)> changed) {
--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -42,21 +42,8 @@
             }
             reply->set_leader_address(instance_.raft->leader_address());
             reply->set_status(rpc::submit_reply::not_leader);
-            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
-            if (leader == nullptr) {
-                reactor->Finish(grpc::Status::OK);
-                return;
-            }
-            forward<rpc::submit_reply>(
-                *request, reactor,
-                [leader](auto... arguments) { leader->async()->submit(arguments...); },
-                [reply](result<rpc::submit_reply, runtime::rpc_error> answer) {
-                    if (succeeded(answer)) {
-                        *reply = std::move(value(answer));
-                    } else {
-                        reply->set_status(rpc::submit_reply::fate_unknown);
-                    }
-                });
+            pass_on(&async_stub::submit, *request, reply, reactor,
+                    [reply] { reply->set_status(rpc::submit_reply::fate_unknown); });
         });
     }
 
@@ -72,19 +59,7 @@
                 return;
             }
             reply->set_status(rpc::renew_reply::no_leader);
-            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
-            if (leader == nullptr) {
-                reactor->Finish(grpc::Status::OK);
-                return;
-            }
-            forward<rpc::renew_reply>(
-                *request, reactor,
-                [leader](auto... arguments) { leader->async()->renew(arguments...); },
-                [reply](result<rpc::renew_reply, runtime::rpc_error> answer) {
-                    if (succeeded(answer)) {
-                        *reply = std::move(value(answer));
-                    }
-                });
+            pass_on(&async_stub::renew, *request, reply, reactor);
         });
     }
 
@@ -97,19 +72,7 @@
                 permit_here(*request, *reply, reactor);
                 return;
             }
-            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
-            if (leader == nullptr) {
-                reactor->Finish(grpc::Status::OK);
-                return;
-            }
-            forward<rpc::permit_reply>(
-                *request, reactor,
-                [leader](auto... arguments) { leader->async()->permit(arguments...); },
-                [reply](result<rpc::permit_reply, runtime::rpc_error> answer) {
-                    if (succeeded(answer)) {
-                        *reply = std::move(value(answer));
-                    }
-                });
+            pass_on(&async_stub::permit, *request, reply, reactor);
         });
     }
 
@@ -140,19 +103,7 @@
                                      rpc::status_reply* reply) override {
         return on_loop(instance_, context, [this, request, reply](auto* reactor) {
             fill_status(instance_, *reply);
-            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
-            if (leader == nullptr) {
-                reactor->Finish(grpc::Status::OK);
-                return;
-            }
-            forward<rpc::status_reply>(
-                *request, reactor,
-                [leader](auto... arguments) { leader->async()->status(arguments...); },
-                [reply](result<rpc::status_reply, runtime::rpc_error> answer) {
-                    if (succeeded(answer)) {
-                        *reply = std::move(value(answer));
-                    }
-                });
+            pass_on(&async_stub::status, *request, reply, reactor);
         });
     }
 
@@ -161,19 +112,7 @@
                                       rpc::explain_reply* reply) override {
         return on_loop(instance_, context, [this, request, reply](auto* reactor) {
             fill_explain(instance_, request->model(), *reply);
-            rpc::control::Stub* leader = request->forwarded() ? nullptr : leader_stub(instance_);
-            if (leader == nullptr) {
-                reactor->Finish(grpc::Status::OK);
-                return;
-            }
-            forward<rpc::explain_reply>(
-                *request, reactor,
-                [leader](auto... arguments) { leader->async()->explain(arguments...); },
-                [reply](result<rpc::explain_reply, runtime::rpc_error> answer) {
-                    if (succeeded(answer)) {
-                        *reply = std::move(value(answer));
-                    }
-                });
+            pass_on(&async_stub::explain, *request, reply, reactor);
         });
     }
 
@@ -191,23 +130,44 @@
 private:
     static constexpr std::uint32_t default_retry_ms = 300;
 
-    // Passes a call on to the leader and finishes it with what `take` makes of the answer.
-    template <class Reply, class Request, class Start, class Take>
-    void forward(const Request& request, grpc::ServerUnaryReactor* reactor, Start start,
-                 Take take) {
+    using async_stub = rpc::control::StubInterface::async_interface;
+
+    template <class Request, class Reply>
+    using leader_call = void (async_stub::*)(grpc::ClientContext*, const Request*, Reply*,
+                                             std::function<void(grpc::Status)>);
+
+    // Passes a call on to the leader, whose answer replaces `reply`. `reply` stays as it is if no
+    // leader is known or the call was passed on already; `lost` says what a lost answer means.
+    template <class Request, class Reply>
+    void pass_on(std::type_identity_t<leader_call<Request, Reply>> method, const Request& request,
+                 Reply* reply, grpc::ServerUnaryReactor* reactor, std::function<void()> lost = {}) {
+        const std::shared_ptr<rpc::control::Stub> leader =
+            request.forwarded() ? nullptr : leader_stub(instance_);
+        if (leader == nullptr) {
+            reactor->Finish(grpc::Status::OK);
+            return;
+        }
         Request passed = request;
         passed.set_forwarded(true);
         runtime::spawn(
-            instance_.loop, [this, passed, reactor, start, take]() -> boost::asio::awaitable<void> {
+            instance_.loop,
+            [this, method, passed, leader, reply, reactor, lost]() -> boost::asio::awaitable<void> {
+                const auto start = [&](auto... arguments) {
+                    (leader->async()->*method)(arguments...);
+                };
                 Request copy = passed;
                 auto answer =
                     co_await runtime::call_unary<Reply>(instance_.loop.context(), instance_.access,
                                                         std::move(copy), forward_timeout, start);
-                if (!succeeded(answer)) {
+                if (succeeded(answer)) {
+                    *reply = std::move(value(answer));
+                } else {
                     // The connection may have gone silent; the next call opens another.
                     instance_.leader_stubs.clear();
+                    if (lost) {
+                        lost();
+                    }
                 }
-                take(std::move(answer));
                 reactor->Finish(grpc::Status::OK);
             });
     }
--- a/libs/control/src/duties.cpp
+++ b/libs/control/src/duties.cpp
@@ -152,7 +152,7 @@
 
 }  // namespace
 
-rpc::control::Stub* leader_stub(instance& i) {
+std::shared_ptr<rpc::control::Stub> leader_stub(instance& i) {
     const std::string address = i.raft->leader_address();
     if (address.empty() || i.raft->is_leader()) {
         return nullptr;
@@ -161,7 +161,7 @@
     if (stub == nullptr) {
         stub = rpc::control::NewStub(runtime::open_channel(address, i.access));
     }
-    return stub.get();
+    return stub;
 }
 
 void start_duties(instance& i) {
--- a/libs/control/src/instance.h
+++ b/libs/control/src/instance.h
@@ -30,7 +30,7 @@
     fleet leader_fleet;
     std::set<std::shared_ptr<watcher>> watchers;
     // Connections to other instances, for what is passed on to the leader.
-    std::map<std::string, std::unique_ptr<rpc::control::Stub>> leader_stubs;
+    std::map<std::string, std::shared_ptr<rpc::control::Stub>> leader_stubs;
     // The answer to the founding of this cluster, for a resent request.
     std::string founding_operation;
     time_point isolated_since{};
@@ -39,7 +39,7 @@
 };
 
 // A call to the leader for what this instance cannot answer; null if no leader is known.
-[[nodiscard]] rpc::control::Stub* leader_stub(instance& i);
+[[nodiscard]] std::shared_ptr<rpc::control::Stub> leader_stub(instance& i);
 
 // --- Periodic work on the control loop
 
--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -234,7 +234,7 @@
         done(false);
         return;
     }
-    rpc::control_peer::Stub* stub = link->stub.get();
+    const std::shared_ptr<rpc::control_peer::Stub> stub = link->stub;
     runtime::spawn(on_, [this, stub, wait_for, alive = alive_]() -> boost::asio::awaitable<void> {
         const auto start = [stub](auto... arguments) { stub->async()->read_index(arguments...); };
         rpc::read_index_request request;
@@ -348,15 +348,18 @@
     if (succeeded(stored)) {
         return true;
     }
-    // What the disk holds is unknown from here on; this process must not promise anything more.
+    fail_storage(error(stored));
+    return false;
+}
+
+// What the disk holds is unknown from here on; this process must not promise anything more.
+void raft_host::fail_storage(const storage::storage_error& e) {
     storage_failed_ = true;
-    log_event(severity::error, event::storage_failed,
-              {{"file", error(stored).file}, {"reason", error(stored).message}});
+    log_event(severity::error, event::storage_failed, {{"file", e.file}, {"reason", e.message}});
     fail_pending();
     if (on_storage_failed) {
         on_storage_failed();
     }
-    return false;
 }
 
 raft_host::peer_link* raft_host::link_to(consensus::node_id id) {
@@ -522,13 +525,7 @@
     hard.set_voted_for(node_->voted_for);
     const auto saved = store_->save_snapshot(s, hard, rest);
     if (!succeeded(saved)) {
-        storage_failed_ = true;
-        log_event(severity::error, event::storage_failed,
-                  {{"file", error(saved).file}, {"reason", error(saved).message}});
-        fail_pending();
-        if (on_storage_failed) {
-            on_storage_failed();
-        }
+        fail_storage(error(saved));
         return;
     }
     log_event(severity::info, event::snapshot_saved,
--- a/libs/control/src/raft_host.h
+++ b/libs/control/src/raft_host.h
@@ -74,7 +74,7 @@
     struct peer_link {
         std::string address;
         std::shared_ptr<grpc::Channel> channel;
-        std::unique_ptr<rpc::control_peer::Stub> stub;
+        std::shared_ptr<rpc::control_peer::Stub> stub;
         time_point oldest_unanswered{};
         std::uint32_t in_flight = 0;
         std::uint64_t generation = 0;
@@ -89,6 +89,7 @@
     void schedule_round();
     void run_round();
     [[nodiscard]] bool store_outputs(const consensus::outputs& out);
+    void fail_storage(const storage::storage_error& e);
     void send(const schema::raft_message& message);
     void answered(consensus::node_id peer, std::uint64_t generation);
     void install(const schema::snapshot& snapshot);
--- a/libs/queueing/include/queueing/queue.h
+++ b/libs/queueing/include/queueing/queue.h
@@ -61,6 +61,8 @@
 [[nodiscard]] std::uint64_t work_ahead(const queue& q);
 // Expected wait of new work of this size and level; zero while no rate is known.
 [[nodiscard]] duration expected_wait(const queue& q, std::uint32_t tokens, priority level);
+// Expected time of work of this size in one slot; zero while no rate is known.
+[[nodiscard]] duration service_time(const queue& q, std::uint32_t tokens);
 // True if `work` should be refused at once because its deadline cannot be met.
 [[nodiscard]] bool hopeless(const queue& q, const item& work, time_point now);
 // A running piece of long, resumable work to stop for short work that waits, if there is one.
@@ -71,7 +73,7 @@
 void enqueue(queue& q, const item& work);
 // Starts the next piece of work, if a slot is free for it.
 [[nodiscard]] std::optional<item> start_next(queue& q, time_point now);
-// Removes and returns work whose deadline has passed while it waited.
+// Removes and returns work that has waited so long that it could not end by its deadline.
 [[nodiscard]] std::vector<item> take_expired(queue& q, time_point now);
 // Takes back work that has not started. True if it was waiting.
 bool withdraw(queue& q, std::uint64_t id);
--- a/libs/queueing/src/queue.cpp
+++ b/libs/queueing/src/queue.cpp
@@ -13,6 +13,9 @@
 // Work may outlive its estimate by this factor before it counts as long.
 constexpr std::uint32_t estimate_slack = 2;
 
+// The share of its expected time that work must have left to be worth starting.
+constexpr double least_time_share = 0.8;
+
 bool is_long(const policy& rules, const item& work) {
     return work.expected_tokens > rules.long_tokens;
 }
@@ -48,6 +51,16 @@
                                                       : 1;
 }
 
+// True if work that starts at `start` would most likely end after its deadline.
+bool too_late(const queue& q, const item& work, time_point start) {
+    if (work.deadline == time_point::max()) {
+        return false;
+    }
+    const duration needed = std::chrono::duration_cast<duration>(
+        service_time(q, work.expected_tokens) * least_time_share);
+    return start + needed >= work.deadline;
+}
+
 }  // namespace
 
 std::uint64_t work_ahead(const queue& q) {
@@ -82,8 +95,17 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+duration service_time(const queue& q, std::uint32_t tokens) {
+    if (q.tokens_per_second <= 0.0) {
+        return duration::zero();
+    }
+    const double seconds = tokens / (q.tokens_per_second / q.rules.slots);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
 bool hopeless(const queue& q, const item& work, time_point now) {
-    return now + expected_wait(q, work.expected_tokens, work.level) >= work.deadline;
+    const duration wait = expected_wait(q, work.expected_tokens, work.level);
+    return too_late(q, work, now + wait);
 }
 
 std::optional<std::uint64_t> preemption(const queue& q) {
@@ -132,7 +154,7 @@
 std::vector<item> take_expired(queue& q, time_point now) {
     std::vector<item> expired;
     std::erase_if(q.waiting, [&](const item& work) {
-        if (work.deadline > now) {
+        if (!too_late(q, work, now)) {
             return false;
         }
         expired.push_back(work);
