--- a/tests/scenarios/run.py
+++ b/tests/scenarios/run.py
@@ -500,6 +500,10 @@
                                o.get("models", "alpha").split(","), self.seed)
         self.load_task = asyncio.create_task(self.fleet.load.run())
 
+    async def do_unlist(self, words, _):
+        """The balancer sends nothing new to this entry; what it has is still in flight."""
+        self.fleet.load.addresses.remove(self.fleet.entries[words[0]])
+
     async def do_run(self, words, _):
         await asyncio.wait_for(self.fleet.load.wait_for_more(int(words[0])), EVENT_TIMEOUT)
 
