No refusal by what was learnt while a slot is free, nor of work whose size says nothing

The queue's new rule took the learnt time of a service as the time of every call, and refused work never lets it be learnt anew: a false refusal. Ruled out: the scenario's timing (it passed before only when the other agent was chosen). Attempts that waited for an adapter kept neither priority nor size when they were queued from the renewal; one function queues them now.

--- a/libs/agent/src/core.h
+++ b/libs/agent/src/core.h
@@ -118,6 +118,8 @@
                                                             const rpc::cancel_request& request);
 // Starts what may start, and ends what has waited too long.
 void pump_queue(core& c);
+// Queues attempts that waited for an adapter and now hold one.
+void queue_adapter_holders(core& c, const std::vector<admission::waiter>& holders);
 // Heartbeats, orphans, kept answers, tombstones.
 void sweep_attempts(core& c);
 // Requests of this model that run or wait here.
--- a/libs/agent/src/membership.cpp
+++ b/libs/agent/src/membership.cpp
@@ -16,33 +16,14 @@
 constexpr duration leaving_timeout = std::chrono::seconds(3);
 constexpr duration check_interval = std::chrono::milliseconds(50);
 
-void serve_adapter_waiters(core& c, const std::vector<admission::waiter>& served) {
-    for (const admission::waiter& w : served) {
-        const auto found = c.by_number.find(w.id);
-        if (found == c.by_number.end()) {
-            continue;
-        }
-        const std::shared_ptr<attempt>& a = found->second;
-        a->holds_adapter = true;
-        queueing::item i;
-        i.id = a->number;
-        i.expected_tokens = std::max<std::uint32_t>(1, a->request.expected_tokens());
-        i.enqueued = a->enqueued;
-        i.deadline = a->enqueued + std::chrono::milliseconds(a->request.budget_ms());
-        queueing::enqueue(c.queue, i);
-    }
-    if (!served.empty()) {
-        pump_queue(c);
-    }
-}
-
 // The share counts only under its lease, by this process's own clock.
 void apply_share(core& c) {
     const bool valid = steady_now() < c.membership.share_valid_until;
     const std::uint32_t share = valid ? c.membership.adapter_share : 0;
     if (share != c.adapters.capacity) {
         log_event(severity::info, event::share_changed, {{"adapters_in_flight", share}});
-        serve_adapter_waiters(c, admission::set_capacity(c.adapters, share));
+        queue_adapter_holders(c, admission::set_capacity(c.adapters, share));
+        pump_queue(c);
     }
 }
 
--- a/libs/agent/src/work.cpp
+++ b/libs/agent/src/work.cpp
@@ -41,6 +41,7 @@
     i.level = level_of(a.request.priority());
     i.enqueued = now;
     i.deadline = now + std::chrono::milliseconds(a.request.budget_ms());
+    i.sized = a.request.kind() == rpc::work_completion;
     i.resumable = a.request.kind() == rpc::work_completion && a.request.stream();
     return i;
 }
@@ -75,13 +76,7 @@
         return;
     }
     a.holds_adapter = false;
-    for (const admission::waiter& w : admission::release(c.adapters, 1)) {
-        const auto found = c.by_number.find(w.id);
-        if (found != c.by_number.end()) {
-            found->second->holds_adapter = true;
-            queueing::enqueue(c.queue, item_of(*found->second, found->second->enqueued));
-        }
-    }
+    queue_adapter_holders(c, admission::release(c.adapters, 1));
 }
 
 // Called once for each attempt when it has ended.
@@ -322,6 +317,16 @@
 
 }  // namespace
 
+void queue_adapter_holders(core& c, const std::vector<admission::waiter>& holders) {
+    for (const admission::waiter& w : holders) {
+        const auto found = c.by_number.find(w.id);
+        if (found != c.by_number.end()) {
+            found->second->holds_adapter = true;
+            queueing::enqueue(c.queue, item_of(*found->second, found->second->enqueued));
+        }
+    }
+}
+
 void pump_queue(core& c) {
     const time_point now = steady_now();
     count_progress(c);
--- a/libs/queueing/include/queueing/queue.h
+++ b/libs/queueing/include/queueing/queue.h
@@ -22,6 +22,8 @@
     time_point deadline{};
     // True if it may be stopped and resumed later without losing output.
     bool resumable = false;
+    // True if expected_tokens says how long it takes; calls of plain services say nothing.
+    bool sized = false;
 };
 
 struct running_item {
--- a/libs/queueing/src/queue.cpp
+++ b/libs/queueing/src/queue.cpp
@@ -51,13 +51,17 @@
                                                       : 1;
 }
 
-// True if work that starts at `start` would most likely end after its deadline.
+// True if work that starts at `start` would most likely end after its deadline. With a free slot
+// only the deadline itself counts: what was learnt in a slow moment must not refuse work for good.
 bool too_late(const queue& q, const item& work, time_point start) {
     if (work.deadline == time_point::max()) {
         return false;
     }
-    const duration needed = std::chrono::duration_cast<duration>(
-        service_time(q, work.expected_tokens) * least_time_share);
+    duration needed = duration::zero();
+    if (work.sized && q.running.size() >= q.rules.slots) {
+        needed = std::chrono::duration_cast<duration>(service_time(q, work.expected_tokens) *
+                                                      least_time_share);
+    }
     return start + needed >= work.deadline;
 }
 
@@ -104,7 +108,8 @@
 }
 
 bool hopeless(const queue& q, const item& work, time_point now) {
-    const duration wait = expected_wait(q, work.expected_tokens, work.level);
+    const duration wait =
+        work.sized ? expected_wait(q, work.expected_tokens, work.level) : duration::zero();
     return too_late(q, work, now + wait);
 }
 
--- a/tests/scenarios/run.py
+++ b/tests/scenarios/run.py
@@ -154,6 +154,7 @@
     async def add_upstream(self, name, kind, options):
         relay_port, port, http, own = (self.free_port() for _ in range(4))
         self.upstreams[name] = {"kind": kind, "address": (self.address, own),
+                                "agent_http": (self.address, http), "options": options,
                                 "record": os.path.join(self.folder, name + ".runs")}
         path = self.write_settings(name, [
             f"failure_domain: fd-{len(self.upstreams) % 3 + 1}",
@@ -452,6 +453,20 @@
         if answer.status != int(status) or got != outcome:
             raise Failure(f"{answer.status} {got}: {answer.body[:300]} {answer.trouble}")
 
+    async def do_announce(self, words, _):
+        """announce NAME same|other STATUS: the upstream, or another one, announces itself again."""
+        upstream = self.fleet.upstreams[words[0]]
+        ip, port = upstream["address"]
+        body = {"kind": upstream["kind"], "service": upstream["options"].get("name", ""),
+                "address": f"{ip}:{port if words[1] == 'same' else 1}",
+                "memory_mb": int(upstream["options"].get("memory", "1000")),
+                "slots": int(upstream["options"].get("slots", "8")),
+                "refuses_old_fences": upstream["options"].get("fences") != "no"}
+        answer = await call(upstream["agent_http"], "POST", "/announce",
+                            json.dumps(body).encode(), {}, 5.0)
+        if answer.status != int(words[2]):
+            raise Failure(f"{answer.status}: {answer.body}")
+
     async def do_leave(self, words, _):
         """leave ENTRY: a caller that closes its connection in the middle of a stream."""
         reader, writer = await asyncio.open_connection(*self.fleet.entries[words[0]])
