Scenarios: no port is given out twice

The runner closes its reservations before each start; a process that had not bound its port yet could see it given to the next. Change: each port is given out once in a run. The check is as strict as before.

--- a/tests/scenarios/run.py
+++ b/tests/scenarios/run.py
@@ -35,6 +35,7 @@
         self.folder = folder
         self.address = f"127.{10 + os.getpid() % 200}.{os.getpid() // 200 % 250}.1"
         self.reserved = []
+        self.given_ports = set()
         self.processes = {}
         self.commands = {}
         self.relays = {}
@@ -56,10 +57,16 @@
     # --- Processes
 
     def free_port(self):
-        s = socket.socket()
-        s.bind((self.address, 0))
-        self.reserved.append(s)
-        return s.getsockname()[1]
+        """A port that is free now and was never given out before: whoever got one may not have
+        bound it yet."""
+        while True:
+            s = socket.socket()
+            s.bind((self.address, 0))
+            self.reserved.append(s)
+            port = s.getsockname()[1]
+            if port not in self.given_ports:
+                self.given_ports.add(port)
+                return port
 
     def release_ports(self):
         for s in self.reserved:
