--- a/cmake/burdockdeck.cmake
+++ b/cmake/burdockdeck.cmake
@@ -4,10 +4,14 @@
 #
 # Each TESTS entry `thing` builds tests/test_thing.cpp as its own doctest program.
 set(BURDOCKDECK_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wconversion -Wno-sign-conversion
-    -Wnon-virtual-dtor -Wold-style-cast -Werror
+    -Wnon-virtual-dtor -Wold-style-cast
     # GCC 12 misreads the frame allocation of Asio coroutines.
     -Wno-mismatched-new-delete)
 
+if(BURDOCKDECK_WARNINGS_AS_ERRORS)
+  list(APPEND BURDOCKDECK_WARNINGS -Werror)
+endif()
+
 function(burdockdeck_library name)
   cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS;PRIVATE_DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
   if(arg_SOURCES)
@@ -31,6 +35,9 @@
       target_link_libraries(burdockdeck_${name} ${scope} ${dep})
     endif()
   endforeach()
+  if(NOT BURDOCKDECK_TESTS)
+    return()
+  endif()
   foreach(test ${arg_TESTS})
     add_executable(test_${test} tests/test_${test}.cpp)
     target_include_directories(test_${test} PRIVATE src)
--- a/libs/catalog/src/catalog.cpp
+++ b/libs/catalog/src/catalog.cpp
@@ -311,6 +311,16 @@
     return done(s);
 }
 
+// The highest version wins, and the first content under a version stays its content.
+command_reply apply_replace_deployment(catalog_state& s,
+                                       const schema::replace_deployment_command& c) {
+    if (c.next().version() > s.deployment().version()) {
+        s.set_revision(s.revision() + 1);
+        *s.mutable_deployment() = c.next();
+    }
+    return done(s);
+}
+
 command_reply dispatch(catalog_state& s, const schema::command& c, mutation broken) {
     switch (c.body_case()) {
         case schema::command::kTrial:
@@ -337,6 +347,8 @@
             return apply_share(s, c.share());
         case schema::command::kPermit:
             return apply_permit(s, c.permit());
+        case schema::command::kReplaceDeployment:
+            return apply_replace_deployment(s, c.replace_deployment());
         default:
             return refused("this version does not know the command");
     }
--- a/libs/consensus/include/consensus/node.h
+++ b/libs/consensus/include/consensus/node.h
@@ -145,6 +145,11 @@
 // True once a leader has handed out everything that was committed before its election. What it
 // decides from its state before that would be decided from an old one.
 [[nodiscard]] bool ready_to_lead(const node& n);
+// The voter, other than this leader, that was not heard for longest, if that is longer than
+// `silence`; 0 if there is none. Leader only.
+[[nodiscard]] node_id silent_voter(const node& n, duration silence, time_point now);
+// True if the learner `id` was heard within `silence`. Leader only.
+[[nodiscard]] bool hears(const node& n, node_id id, duration silence, time_point now);
 // When `tick` should run next at the latest.
 [[nodiscard]] time_point next_wakeup(const node& n);
 // True once the members without `outgoing` are committed and `id` has stored them. Leader only.
@@ -165,6 +170,10 @@
                                                         const schema::control_member& member);
 // Swaps the voter `lost` for the caught-up learner `fresh` through joint majorities.
 [[nodiscard]] result<nothing, change_error> replace_voter(node& n, node_id lost, node_id fresh);
+// Adds the caught-up learner `id` to the voters through joint majorities.
+[[nodiscard]] result<nothing, change_error> promote_learner(node& n, node_id id);
+// Removes a learner.
+[[nodiscard]] result<nothing, change_error> remove_learner(node& n, node_id id);
 // Sends what was appended since the last call; called once for each batch of proposals.
 void flush(node& n, time_point now);
 // Takes the outputs collected so far.
--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -608,6 +608,24 @@
     return n.current_role == role::leader && n.handed_out >= n.term_start;
 }
 
+node_id silent_voter(const node& n, duration silence, time_point now) {
+    node_id longest = 0;
+    time_point oldest = now - silence;
+    for (const control_member& m : members_of(n).voters()) {
+        const auto peer = n.peers.find(m.id());
+        if (peer != n.peers.end() && peer->second.last_heard < oldest) {
+            oldest = peer->second.last_heard;
+            longest = m.id();
+        }
+    }
+    return longest;
+}
+
+bool hears(const node& n, node_id id, duration silence, time_point now) {
+    const auto peer = n.peers.find(id);
+    return peer != n.peers.end() && now - peer->second.last_heard <= silence;
+}
+
 time_point next_wakeup(const node& n) {
     return n.current_role == role::leader ? n.heartbeat_due : n.election_deadline;
 }
@@ -741,6 +759,47 @@
     return nothing{};
 }
 
+result<nothing, change_error> promote_learner(node& n, node_id id) {
+    if (const auto obstacle = change_obstacle(n)) {
+        return *obstacle;
+    }
+    const configuration& current = members_of(n);
+    if (!contains(current.learners(), id)) {
+        return change_error::unknown_member;
+    }
+    const auto peer = n.peers.find(id);
+    if (peer == n.peers.end() || peer->second.match < n.commit) {
+        return change_error::learner_behind;
+    }
+    configuration joint;
+    *joint.mutable_outgoing() = current.voters();
+    *joint.mutable_voters() = current.voters();
+    for (const control_member& m : current.learners()) {
+        *(m.id() == id ? joint.add_voters() : joint.add_learners()) = m;
+    }
+    append_entry(n, schema::entry_configuration, joint.SerializeAsString());
+    return nothing{};
+}
+
+result<nothing, change_error> remove_learner(node& n, node_id id) {
+    if (const auto obstacle = change_obstacle(n)) {
+        return *obstacle;
+    }
+    configuration members = members_of(n);
+    const int before = members.learners_size();
+    members.clear_learners();
+    for (const control_member& m : members_of(n).learners()) {
+        if (m.id() != id) {
+            *members.add_learners() = m;
+        }
+    }
+    if (members.learners_size() == before) {
+        return change_error::unknown_member;
+    }
+    append_entry(n, schema::entry_configuration, members.SerializeAsString());
+    return nothing{};
+}
+
 void flush(node& n, time_point now) {
     if (n.current_role != role::leader) {
         return;
--- a/libs/control/include/control/server.h
+++ b/libs/control/include/control/server.h
@@ -4,10 +4,12 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/result.h"
 #include "control/settings.h"
+#include "control/site_protocol.h"
 
 namespace burdockdeck::control {
 
@@ -17,13 +19,18 @@
 
 class control_server {
 public:
-    // Opens the data folder and starts to serve. `failed` is called if the disk fails later.
+    // Opens the data folder and starts to serve. `failed` is called if the disk fails later; where
+    // the settings have a `site`, the instance instead falls silent until the disk takes writes.
+    // `protocol` is what operators and upstreams of the site speak.
     [[nodiscard]] static result<std::unique_ptr<control_server>, control_error> create(
-        const control_settings& settings, std::function<void()> failed);
+        const control_settings& settings, std::function<void()> failed,
+        std::optional<site_protocol> protocol = std::nullopt);
     ~control_server();
 
     // Ends watches and calls in hand, then calls `finished`.
     void stop(std::function<void()> finished);
+    // Takes over what may change while running: the seeds.
+    void reload(const control_settings& settings);
 
 private:
     struct state;
--- /dev/null
+++ b/libs/control/include/control/site_protocol.h
@@ -0,0 +1,46 @@
+// The seam towards whoever speaks to control from outside: operators that send deployments, and
+// upstreams that announce themselves. A protocol decodes and encodes; it decides nothing.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "deployment/deployment.h"
+#include "site.pb.h"
+
+namespace burdockdeck::control {
+
+enum class site_call_kind {
+    replace_deployment,
+    describe_deployment,
+    announce,
+    leave,
+    unknown,
+    wrong_method
+};
+
+struct site_call {
+    site_call_kind kind = site_call_kind::unknown;
+    // Of `announce` and `leave`.
+    std::string upstream_id;
+};
+
+struct protocol_error {
+    std::string message;
+};
+
+struct site_protocol {
+    // `target` is the request's target, with its query.
+    std::function<site_call(std::string_view method, std::string_view target)> call_of;
+    std::function<result<deployment::site, protocol_error>(std::string_view body)>
+        decode_deployment;
+    std::function<result<schema::upstream_announcement, protocol_error>(std::string_view id,
+                                                                        std::string_view body)>
+        decode_announcement;
+    // The body of a refusal.
+    std::function<std::string(std::string_view message)> encode_error;
+};
+
+}  // namespace burdockdeck::control
--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -4,9 +4,11 @@
 #include "document/document.h"
 #include "placement/plan.h"
 #include "replace.h"
+#include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "services.h"
+#include "site.h"
 #include "status.h"
 #include "unary.h"
 #include "watcher.h"
@@ -54,7 +56,7 @@
             instance_.metrics.count("burdockdeck_renewals_total");
             if (instance_.raft->is_leader()) {
                 *reply = control::renew(instance_.leader_fleet, instance_.raft->state(), *request,
-                                        std::chrono::steady_clock::now());
+                                        runtime::boot_now());
                 reactor->Finish(grpc::Status::OK);
                 return;
             }
@@ -127,6 +129,48 @@
         });
     }
 
+    grpc::ServerWriteReactor<rpc::site_update>* watch_site(
+        grpc::CallbackServerContext* context, const rpc::watch_site_request* request) override {
+        auto w = std::make_shared<site_watcher>(0);
+        w->keep_alive(w);
+        w->on_end = [] {};
+        if (!instance_.access.allows(*context)) {
+            w->end(grpc::Status(grpc::StatusCode::UNAUTHENTICATED,
+                                "the shared key is missing or wrong"));
+            return w.get();
+        }
+        const std::weak_ptr<site_watcher> weak = w;
+        w->on_end = [this, weak] {
+            if (const auto ended = weak.lock()) {
+                instance_.loop.post([this, ended] {
+                    if (instance_.site) {
+                        instance_.site->watchers.erase(ended);
+                    }
+                });
+            }
+        };
+        w->on_idle = [this] { instance_.loop.post([this] { update_site_watchers(instance_); }); };
+        instance_.loop.post([this, w, request = *request] {
+            if (instance_.stopping || !instance_.site) {
+                w->end(grpc::Status(grpc::StatusCode::UNAVAILABLE, "no site is served here"));
+                return;
+            }
+            open_site_watch(instance_, w, request);
+        });
+        return w.get();
+    }
+
+    grpc::ServerUnaryReactor* report_demand(grpc::CallbackServerContext* context,
+                                            const rpc::demand_report* request,
+                                            rpc::acknowledgement*) override {
+        return on_loop(instance_, context, [this, request](auto* reactor) {
+            if (instance_.site) {
+                instance_.site->demand[request->gateway()] = {*request, runtime::boot_now()};
+            }
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
 private:
     static constexpr std::uint32_t default_retry_ms = 300;
 
@@ -219,7 +263,7 @@
             log_event(severity::info, event::agent_registered,
                       {{"agent", r.name()}, {"incarnation", r.incarnation()}});
             note_event(f, "agent " + r.name() + ": registered");
-            f.leases[r.name()] = {r.incarnation(), std::chrono::steady_clock::now(), 0, 0, 0};
+            f.leases[r.name()] = {r.incarnation(), runtime::boot_now(), 0, 0, 0};
         } else if (command.has_leaving()) {
             log_event(severity::info, event::agent_leaving, {{"agent", command.leaving().agent()}});
             note_event(f, "agent " + command.leaving().agent() +
@@ -239,8 +283,8 @@
         const std::uint32_t lease_ms =
             static_cast<std::uint32_t>(to_milliseconds(f.settings.permit_lease));
         if (!request.release()) {
-            const permit_answer answer = decide_permit(
-                f, instance_.raft->state(), request.order_id(), std::chrono::steady_clock::now());
+            const permit_answer answer =
+                decide_permit(f, instance_.raft->state(), request.order_id(), runtime::boot_now());
             if (answer.decision == permit_decision::wait) {
                 reply.set_retry_after_ms(
                     static_cast<std::uint32_t>(to_milliseconds(answer.retry_after) + 1));
@@ -273,7 +317,8 @@
             }
             instance_.watchers.insert(w);
             w->send(catalog::table_since(instance_.raft->state(),
-                                         instance_.raft->identity().cluster(), w->known()));
+                                         instance_.raft->identity().cluster(), w->known()),
+                    instance_.raft->state().revision());
         });
     }
 
--- a/libs/control/src/duties.cpp
+++ b/libs/control/src/duties.cpp
@@ -3,6 +3,7 @@
 
 #include "catalog/catalog.h"
 #include "instance.h"
+#include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "runtime/trace.h"
@@ -26,7 +27,7 @@
 constexpr duration claim_sweep_interval = std::chrono::minutes(1);
 
 time_point now() {
-    return std::chrono::steady_clock::now();
+    return runtime::boot_now();
 }
 
 void ignore_reply(submit_fate, const schema::command_reply&) {}
@@ -100,8 +101,8 @@
 void heartbeat_watchers(instance& i) {
     for (const auto& w : i.watchers) {
         if (w->ready()) {
-            w->send(
-                catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()));
+            w->send(catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()),
+                    i.raft->state().revision());
         }
     }
 }
@@ -171,8 +172,8 @@
 void update_watchers(instance& i) {
     for (const auto& w : i.watchers) {
         if (w->known() != i.raft->state().revision() && w->ready()) {
-            w->send(
-                catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()));
+            w->send(catalog::table_since(i.raft->state(), i.raft->identity().cluster(), w->known()),
+                    i.raft->state().revision());
         }
     }
 }
--- a/libs/control/src/instance.h
+++ b/libs/control/src/instance.h
@@ -16,7 +16,11 @@
 
 namespace burdockdeck::control {
 
-class watcher;
+template <class Update>
+class update_stream;
+using watcher = update_stream<schema::table_update>;
+
+struct site_state;
 
 struct instance {
     instance(const control_settings& s, runtime::rpc_access a)
@@ -34,6 +38,8 @@
     // The answer to the founding of this cluster, for a resent request.
     std::string founding_operation;
     time_point isolated_since{};
+    // Set where the settings have a `site`.
+    std::shared_ptr<site_state> site;
     bool replacing = false;
     bool stopping = false;
 };
--- /dev/null
+++ b/libs/control/src/joiner.cpp
@@ -0,0 +1,207 @@
+// Membership without operators: founding from seeds, joining, and repair of lost voters.
+#include "base/checksum.h"
+#include "runtime/clock.h"
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "site.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+constexpr duration join_interval = std::chrono::milliseconds(200);
+constexpr duration join_timeout = std::chrono::milliseconds(600);
+// A member that hears no leader for this long asks whether it still belongs.
+constexpr duration rejoin_after = std::chrono::milliseconds(1500);
+// A learner silent for this long is removed.
+constexpr duration learner_patience = std::chrono::seconds(10);
+// A learner must have been heard this recently to become a voter.
+constexpr duration learner_fresh = std::chrono::milliseconds(500);
+
+// Founders derive equal identities from equal settings.
+consensus::node_id founder_id(const std::string& address) {
+    return checksum_of("founder " + address) | 1U;
+}
+
+std::string cluster_of(const instance& i) {
+    std::set<std::string> addresses;
+    for (const settings::endpoint& seed : i.settings.site->seeds) {
+        addresses.insert(to_text(seed));
+    }
+    std::string all;
+    for (const std::string& a : addresses) {
+        all += a + " ";
+    }
+    return digest_of(all);
+}
+
+void found_if_seed(instance& i) {
+    const site_settings& site = *i.settings.site;
+    if (!site.founding || !i.raft->identity().cluster().empty()) {
+        return;
+    }
+    schema::configuration members;
+    const std::string self = to_text(i.settings.advertise);
+    bool seed_itself = false;
+    for (const settings::endpoint& seed : site.seeds) {
+        const std::string address = rpc_address(i, seed);
+        schema::control_member& m = *members.add_voters();
+        m.set_id(founder_id(address));
+        m.set_address(address);
+        m.set_name(address);
+        seed_itself = seed_itself || address == self;
+    }
+    if (!seed_itself) {
+        return;
+    }
+    const auto founded = i.raft->found_from_seeds(cluster_of(i), members, founder_id(self));
+    if (!succeeded(founded)) {
+        log_event(severity::error, event::storage_failed, {{"reason", error(founded)}});
+    }
+}
+
+schema::control_member self_of(const instance& i) {
+    schema::control_member m;
+    m.set_id(i.raft->identity().node_id());
+    m.set_name(i.settings.name);
+    m.set_address(to_text(i.settings.advertise));
+    m.set_failure_domain(i.settings.failure_domain);
+    return m;
+}
+
+// Everyone that may know the cluster: seeds, members known here, and those named by others.
+std::vector<std::string> candidates(const instance& i, const std::set<std::string>& named) {
+    std::set<std::string> all = named;
+    for (const settings::endpoint& seed : i.site->seeds) {
+        all.insert(rpc_address(i, seed));
+    }
+    for (const std::string& address : i.raft->member_addresses()) {
+        all.insert(address);
+    }
+    all.erase(to_text(i.settings.advertise));
+    return {all.begin(), all.end()};
+}
+
+bool needs_to_join(const instance& i, time_point lonely_since, time_point now) {
+    if (i.raft->identity().node_id() == 0) {
+        return false;
+    }
+    return i.raft->node() == nullptr || now - lonely_since > rejoin_after;
+}
+
+boost::asio::awaitable<void> ask_to_join(instance& i, std::string address,
+                                         std::shared_ptr<std::set<std::string>> named) {
+    const std::shared_ptr<rpc::control_peer::Stub> stub = peer_stub(i, address);
+    const auto start = [&stub](auto... arguments) { stub->async()->join(arguments...); };
+    rpc::join_request request;
+    *request.mutable_member() = self_of(i);
+    auto answer = co_await runtime::call_unary<rpc::join_reply>(
+        i.loop.context(), i.access, std::move(request), join_timeout, start);
+    if (!succeeded(answer)) {
+        i.site->peers.erase(address);
+        co_return;
+    }
+    named->insert(value(answer).addresses().begin(), value(answer).addresses().end());
+}
+
+boost::asio::awaitable<void> keep_joined(instance& i) {
+    auto named = std::make_shared<std::set<std::string>>();
+    time_point lonely_since = runtime::boot_now();
+    bool asking = false;
+    while (!i.stopping) {
+        const time_point now = runtime::boot_now();
+        if (!i.raft->isolated()) {
+            lonely_since = now;
+        }
+        const bool ask = needs_to_join(i, lonely_since, now);
+        if (ask) {
+            for (const std::string& address : candidates(i, *named)) {
+                runtime::spawn(i.loop,
+                               [&i, address, named] { return ask_to_join(i, address, named); });
+            }
+        }
+        if (ask != asking) {
+            asking = ask;
+            log_event(severity::info, event::join_asked, {{"asking", ask ? "yes" : "no"}});
+        }
+        co_await runtime::sleep_for(join_interval);
+    }
+}
+
+const schema::control_member* member_at(const schema::configuration& members,
+                                        const std::string& address, consensus::node_id except) {
+    for (const schema::control_member& m : members.voters()) {
+        if (m.address() == address && m.id() != except) {
+            return &m;
+        }
+    }
+    return nullptr;
+}
+
+// The voter that `fresh` should replace: an earlier identity at its own address, or one that has
+// fallen silent; 0 if all are well.
+consensus::node_id voter_to_replace(const instance& i, const schema::control_member& fresh) {
+    const consensus::node& n = *i.raft->node();
+    if (const auto* old = member_at(consensus::members_of(n), fresh.address(), fresh.id())) {
+        return old->id();
+    }
+    return consensus::silent_voter(n, i.settings.site->lost_after, runtime::boot_now());
+}
+
+bool swap_one(instance& i, const schema::control_member& fresh) {
+    const consensus::node& n = *i.raft->node();
+    const consensus::node_id lost = voter_to_replace(i, fresh);
+    if (lost != 0) {
+        const bool swapped = succeeded(i.raft->replace_voter(lost, fresh.id()));
+        if (swapped) {
+            log_event(severity::info, event::member_swapped,
+                      {{"lost", lost}, {"fresh", fresh.id()}, {"address", fresh.address()}});
+        }
+        return swapped;
+    }
+    const auto voters = static_cast<std::uint32_t>(consensus::members_of(n).voters_size());
+    if (voters < i.settings.site->voters) {
+        return succeeded(i.raft->promote_learner(fresh.id()));
+    }
+    return false;
+}
+
+}  // namespace
+
+void start_joining(instance& i) {
+    found_if_seed(i);
+    runtime::spawn(i.loop, [&i] { return keep_joined(i); });
+}
+
+rpc::join_reply answer_join(instance& i, const rpc::join_request& request) {
+    rpc::join_reply reply;
+    for (const std::string& address : i.raft->member_addresses()) {
+        reply.add_addresses(address);
+    }
+    if (i.raft->is_leader()) {
+        // Refused while another change is under way; the newcomer asks again.
+        reply.set_accepted(succeeded(i.raft->add_learner(request.member())));
+    }
+    return reply;
+}
+
+void repair_members(instance& i) {
+    const consensus::node& n = *i.raft->node();
+    const schema::configuration members = consensus::members_of(n);
+    const time_point now = runtime::boot_now();
+    for (const schema::control_member& m : members.learners()) {
+        if (consensus::hears(n, m.id(), learner_fresh, now) && swap_one(i, m)) {
+            return;
+        }
+        if (!consensus::hears(n, m.id(), learner_patience, now) &&
+            succeeded(i.raft->remove_learner(m.id()))) {
+            return;
+        }
+    }
+}
+
+}  // namespace burdockdeck::control
--- a/libs/control/src/peer_service.cpp
+++ b/libs/control/src/peer_service.cpp
@@ -1,6 +1,7 @@
 // What control instances ask of each other: messages of the log, identity, founding, read index.
 #include "runtime/log.h"
 #include "services.h"
+#include "site.h"
 #include "unary.h"
 
 namespace burdockdeck::control {
@@ -54,6 +55,30 @@
         });
     }
 
+    grpc::ServerUnaryReactor* join(grpc::CallbackServerContext* context,
+                                   const rpc::join_request* request,
+                                   rpc::join_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            if (instance_.site) {
+                *reply = answer_join(instance_, *request);
+            }
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    grpc::ServerUnaryReactor* relay(grpc::CallbackServerContext* context,
+                                    const rpc::announcement_relay* request,
+                                    rpc::acknowledgement*) override {
+        return on_loop(instance_, context, [this, request](auto* reactor) {
+            for (const schema::upstream_announcement& a : request->announcements()) {
+                if (instance_.site) {
+                    take_announcement(instance_, a, true);
+                }
+            }
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
 private:
     void answer_found(const rpc::found_request& request, rpc::found_reply& reply) {
         const bool resent = !request.operation_id().empty() &&
--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -1,10 +1,12 @@
 // Rounds of the consensus node against disk and network.
 #include "raft_host.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
 #include "catalog/catalog.h"
+#include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "runtime/trace.h"
@@ -25,6 +27,11 @@
 constexpr std::uint32_t max_in_flight = 256;
 // Entries kept in memory behind a snapshot, for followers that lag a little.
 constexpr std::uint64_t kept_entries = 500;
+// Bytes of entries kept for them at the most.
+constexpr std::size_t kept_entry_bytes = 4 * 1024 * 1024;
+// A log file of this size is replaced by a snapshot, however few its entries.
+constexpr std::uint64_t log_bytes_before_snapshot = 8 * 1024 * 1024;
+constexpr duration storage_retry_interval = std::chrono::milliseconds(250);
 
 consensus::timing timing_of(const control_settings& s) {
     consensus::timing t;
@@ -35,7 +42,7 @@
 }
 
 time_point now() {
-    return std::chrono::steady_clock::now();
+    return runtime::boot_now();
 }
 
 }  // namespace
@@ -49,7 +56,8 @@
       metrics_(metrics),
       store_(std::move(store)),
       rng_(std::random_device{}()),
-      timer_(on.context()) {
+      timer_(on.context()),
+      storage_timer_(on.context()) {
     if (!store_->identity().cluster().empty()) {
         start_node(found);
     }
@@ -62,7 +70,7 @@
 }
 
 const schema::identity& raft_host::identity() const {
-    return store_->identity();
+    return store_ ? store_->identity() : schema::identity::default_instance();
 }
 
 const consensus::node* raft_host::node() const {
@@ -106,6 +114,26 @@
     return "";
 }
 
+std::vector<std::string> raft_host::member_addresses() const {
+    std::vector<std::string> out;
+    if (!node_) {
+        return out;
+    }
+    const schema::configuration& members = consensus::members_of(*node_);
+    for (const auto* group : {&members.voters(), &members.outgoing(), &members.learners()}) {
+        for (const schema::control_member& m : *group) {
+            if (std::find(out.begin(), out.end(), m.address()) == out.end()) {
+                out.push_back(m.address());
+            }
+        }
+    }
+    return out;
+}
+
+std::uint64_t raft_host::applied() const {
+    return applied_;
+}
+
 void raft_host::start_node(const storage::contents& found) {
     const consensus::restored_state restored{found.hard, found.snapshot, found.entries};
     node_ = consensus::create(store_->identity().node_id(), store_->identity().cluster(),
@@ -128,7 +156,7 @@
 }
 
 void raft_host::receive(const schema::raft_message& message) {
-    if (stopped_ || storage_failed_ || message.to() != store_->identity().node_id()) {
+    if (stopped_ || storage_failed_ || message.to() != identity().node_id()) {
         return;
     }
     learned_addresses_[message.from()] = message.from_address();
@@ -144,20 +172,35 @@
     if (node_) {
         return "this instance belongs to cluster " + store_->identity().cluster() + " already";
     }
-    schema::snapshot first;
-    first.set_index(1);
-    first.set_term(1);
+    schema::configuration members;
     bool named = false;
     for (const schema::control_member& m : request.members()) {
-        *first.mutable_members()->add_voters() = m;
+        *members.add_voters() = m;
         named = named || m.id() == store_->identity().node_id();
     }
     if (!named || request.environment().empty()) {
         return std::string("the members must name this instance, and the environment must be set");
     }
-    schema::catalog_state empty;
-    empty.set_environment(request.environment());
-    first.set_state(empty.SerializeAsString());
+    schema::catalog_state first;
+    first.set_environment(request.environment());
+    return found_with(runtime::random_hex(16), members, store_->identity().node_id(), first);
+}
+
+result<nothing, std::string> raft_host::found_from_seeds(const std::string& cluster,
+                                                         const schema::configuration& members,
+                                                         consensus::node_id self) {
+    return found_with(cluster, members, self, {});
+}
+
+result<nothing, std::string> raft_host::found_with(const std::string& cluster,
+                                                   const schema::configuration& members,
+                                                   consensus::node_id self,
+                                                   const schema::catalog_state& state) {
+    schema::snapshot first;
+    first.set_index(1);
+    first.set_term(1);
+    *first.mutable_members() = members;
+    first.set_state(state.SerializeAsString());
     schema::hard_state hard;
     hard.set_term(1);
     // The snapshot counts only once the identity names a cluster, so the pair is atomic.
@@ -165,8 +208,7 @@
     if (!succeeded(saved)) {
         return error(saved).message;
     }
-    const std::string cluster = runtime::random_hex(16);
-    auto joined = store_->join_cluster(cluster);
+    auto joined = store_->found_cluster(cluster, self);
     if (!succeeded(joined)) {
         return error(joined).message;
     }
@@ -175,7 +217,7 @@
     found.snapshot = first;
     start_node(found);
     log_event(severity::info, event::cluster_founded,
-              {{"cluster", cluster}, {"environment", request.environment()}});
+              {{"cluster", cluster}, {"environment", state.environment()}});
     return nothing{};
 }
 
@@ -212,7 +254,7 @@
 }
 
 void raft_host::read_barrier(read_callback done) {
-    if (!node_ || stopped_) {
+    if (!node_ || stopped_ || storage_failed_) {
         done(false);
         return;
     }
@@ -261,10 +303,25 @@
     return replaced;
 }
 
+result<nothing, consensus::change_error> raft_host::remove_learner(consensus::node_id id) {
+    auto removed = consensus::remove_learner(*node_, id);
+    proposals_waiting_ = true;
+    schedule_round();
+    return removed;
+}
+
+result<nothing, consensus::change_error> raft_host::promote_learner(consensus::node_id id) {
+    auto promoted = consensus::promote_learner(*node_, id);
+    proposals_waiting_ = true;
+    schedule_round();
+    return promoted;
+}
+
 void raft_host::stop() {
     stopped_ = true;
     *alive_ = false;
     timer_.cancel();
+    storage_timer_.cancel();
     fail_pending();
     std::map<std::uint64_t, std::function<void(bool, std::uint64_t)>> reads;
     reads.swap(reads_);
@@ -359,9 +416,54 @@
     fail_pending();
     if (on_storage_failed) {
         on_storage_failed();
+        return;
+    }
+    timer_.cancel();
+    note_role();
+    drop_state();
+    retry_storage();
+}
+
+void raft_host::drop_state() {
+    std::map<std::uint64_t, std::function<void(bool, std::uint64_t)>> reads;
+    reads.swap(reads_);
+    for (auto& [context, done] : reads) {
+        done(false, 0);
+    }
+    std::vector<waiting_read> waiting;
+    waiting.swap(waiting_reads_);
+    for (const waiting_read& w : waiting) {
+        w.done(false);
     }
 }
 
+void raft_host::retry_storage() {
+    storage_timer_.expires_after(storage_retry_interval);
+    storage_timer_.async_wait([this, alive = alive_](const boost::system::error_code& failed) {
+        if (failed || !*alive || stopped_) {
+            return;
+        }
+        store_.reset();
+        storage::contents found;
+        auto opened = storage::store::open(settings_.data_folder, found);
+        if (!succeeded(opened)) {
+            retry_storage();
+            return;
+        }
+        store_ = std::move(value(opened));
+        // What was in memory but not on the disk was never promised to anyone.
+        node_.reset();
+        state_.Clear();
+        applied_ = 0;
+        storage_failed_ = false;
+        log_event(severity::info, event::storage_recovered,
+                  {{"entries", static_cast<std::uint64_t>(found.entries.size())}});
+        if (!store_->identity().cluster().empty()) {
+            start_node(found);
+        }
+    });
+}
+
 raft_host::peer_link* raft_host::link_to(consensus::node_id id) {
     const std::string address = address_of(id);
     if (address.empty()) {
@@ -502,7 +604,9 @@
 
 void raft_host::maybe_snapshot() {
     const consensus::log_index last_snapshot = node_->latest_snapshot.index();
-    if (applied_ < last_snapshot + settings_.snapshot_every) {
+    const bool many = applied_ >= last_snapshot + settings_.snapshot_every;
+    const bool large = store_->log_bytes() > log_bytes_before_snapshot && applied_ > last_snapshot;
+    if (!many && !large) {
         return;
     }
     schema::snapshot s;
@@ -530,12 +634,26 @@
     }
     log_event(severity::info, event::snapshot_saved,
               {{"index", s.index()}, {"bytes", static_cast<std::uint64_t>(s.ByteSizeLong())}});
-    const std::uint64_t keep_from = applied_ > kept_entries ? applied_ - kept_entries : 1;
+    const std::uint64_t keep_from = first_kept_entry();
     consensus::compact(*node_, std::move(s), keep_from);
 }
 
+std::uint64_t raft_host::first_kept_entry() const {
+    std::uint64_t first = applied_ + 1;
+    std::size_t bytes = 0;
+    const consensus::entry_log& log = node_->log;
+    while (first > log.base_index + 1 && applied_ + 1 - first < kept_entries) {
+        bytes += log.entries[first - 2 - log.base_index].ByteSizeLong();
+        if (bytes > kept_entry_bytes) {
+            break;
+        }
+        --first;
+    }
+    return first;
+}
+
 void raft_host::arm_timer() {
-    timer_.expires_at(consensus::next_wakeup(*node_));
+    timer_.expires_after(consensus::next_wakeup(*node_) - now());
     timer_.async_wait([this, alive = alive_](const boost::system::error_code& failed) {
         if (failed || !*alive || stopped_) {
             return;
--- a/libs/control/src/raft_host.h
+++ b/libs/control/src/raft_host.h
@@ -45,6 +45,10 @@
     // Address of the leader; empty if unknown.
     [[nodiscard]] std::string leader_address() const;
     [[nodiscard]] std::string leader_name() const;
+    // Addresses of all members known here.
+    [[nodiscard]] std::vector<std::string> member_addresses() const;
+    // The log index applied here.
+    [[nodiscard]] std::uint64_t applied() const;
 
     // --- Commands
     void receive(const schema::raft_message& message);
@@ -54,6 +58,13 @@
     // The leader's part of a barrier asked for by a follower: the confirmed index.
     void confirm_index(std::function<void(bool, std::uint64_t)> done);
     [[nodiscard]] result<nothing, std::string> found(const rpc::found_request& request);
+    // Founds the cluster that every seed founds alike. Precondition: no cluster is joined yet.
+    [[nodiscard]] result<nothing, std::string> found_from_seeds(
+        const std::string& cluster, const schema::configuration& members, consensus::node_id self);
+    // Removes a member that never votes. Leader only.
+    [[nodiscard]] result<nothing, consensus::change_error> remove_learner(consensus::node_id id);
+    // Adds a caught-up learner to the voters. Leader only.
+    [[nodiscard]] result<nothing, consensus::change_error> promote_learner(consensus::node_id id);
     [[nodiscard]] result<nothing, consensus::change_error> add_learner(
         const schema::control_member& member);
     [[nodiscard]] result<nothing, consensus::change_error> replace_voter(consensus::node_id lost,
@@ -63,7 +74,8 @@
     // Called after commands were applied that changed the table, and when leadership changes.
     std::function<void()> on_table_changed;
     std::function<void(bool leading)> on_leadership;
-    // Called when the disk fails: nothing may be promised any more.
+    // Called when the disk fails: nothing may be promised any more. If it is not set, the instance
+    // falls silent and starts anew from its disk once that takes writes again.
     std::function<void()> on_storage_failed;
 
 private:
@@ -85,11 +97,19 @@
     };
 
     void start_node(const storage::contents& found);
+    [[nodiscard]] result<nothing, std::string> found_with(const std::string& cluster,
+                                                          const schema::configuration& members,
+                                                          consensus::node_id self,
+                                                          const schema::catalog_state& state);
+    [[nodiscard]] std::uint64_t first_kept_entry() const;
     [[nodiscard]] result<nothing, storage::storage_error> join(const std::string& cluster);
     void schedule_round();
     void run_round();
     [[nodiscard]] bool store_outputs(const consensus::outputs& out);
     void fail_storage(const storage::storage_error& e);
+    // Opens the data folder again until the disk takes writes.
+    void retry_storage();
+    void drop_state();
     void send(const schema::raft_message& message);
     void answered(consensus::node_id peer, std::uint64_t generation);
     void install(const schema::snapshot& snapshot);
@@ -112,6 +132,7 @@
     std::uint64_t applied_ = 0;
     std::mt19937_64 rng_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer storage_timer_;
     bool round_scheduled_ = false;
     bool proposals_waiting_ = false;
     bool storage_failed_ = false;
--- a/libs/control/src/replace.cpp
+++ b/libs/control/src/replace.cpp
@@ -1,6 +1,7 @@
 // The steps of a replacement: identify, learn, swap, confirm.
 #include "replace.h"
 
+#include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
 
@@ -78,8 +79,8 @@
     if (!voter_already && voter_named(*i.raft->node(), request.lost_name()) == nullptr) {
         co_return reply_of(false, "no voter is named `" + request.lost_name() + "`");
     }
-    const time_point give_up = std::chrono::steady_clock::now() + longest_replacement;
-    while (std::chrono::steady_clock::now() < give_up && i.raft->is_leader()) {
+    const time_point give_up = runtime::boot_now() + longest_replacement;
+    while (runtime::boot_now() < give_up && i.raft->is_leader()) {
         if (advance(i, request, fresh)) {
             note_event(i.leader_fleet, "control instance " + request.lost_name() +
                                            ": replaced by the one at " + request.new_address());
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -2,9 +2,12 @@
 #include "control/server.h"
 
 #include "instance.h"
+#include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "services.h"
+#include "site.h"
+#include "site_http.h"
 #include "watcher.h"
 
 namespace burdockdeck::control {
@@ -48,6 +51,7 @@
     std::unique_ptr<grpc::Service> control_service;
     std::unique_ptr<grpc::Server> server;
     std::unique_ptr<runtime::http_server> http;
+    std::unique_ptr<runtime::http_server> site_http;
 };
 
 control_server::control_server(std::unique_ptr<state> s) : state_(std::move(s)) {}
@@ -61,7 +65,11 @@
 }
 
 result<std::unique_ptr<control_server>, control_error> control_server::create(
-    const control_settings& settings, std::function<void()> failed) {
+    const control_settings& settings, std::function<void()> failed,
+    std::optional<site_protocol> protocol) {
+    if (settings.site && !protocol) {
+        return control_error{"settings with a site need a protocol for its callers"};
+    }
     auto access = runtime::rpc_access::create(settings.access);
     if (!succeeded(access)) {
         return control_error{to_text(error(access))};
@@ -82,11 +90,18 @@
     i.leader_fleet.settings.plan.scale_down_after = settings.scale_down_after;
     i.raft = std::make_unique<raft_host>(i.loop, settings, value(access), i.metrics,
                                          std::move(value(store)), std::move(found));
-    i.raft->on_table_changed = [&i] { update_watchers(i); };
-    i.raft->on_storage_failed = std::move(failed);
+    i.raft->on_table_changed = [&i] {
+        update_watchers(i);
+        if (i.site) {
+            update_site_watchers(i);
+        }
+    };
+    if (!settings.site) {
+        i.raft->on_storage_failed = std::move(failed);
+    }
     i.raft->on_leadership = [&i](bool leading) {
         if (leading) {
-            begin_leading(i.leader_fleet, i.raft->state(), std::chrono::steady_clock::now());
+            begin_leading(i.leader_fleet, i.raft->state(), runtime::boot_now());
         }
     };
     s->peer_service = make_peer_service(i);
@@ -104,6 +119,19 @@
         return control_error{error(http).message};
     }
     s->http = std::move(value(http));
+    if (settings.site) {
+        i.site = std::make_shared<site_state>();
+        i.site->protocol = std::move(*protocol);
+        i.site->seeds = settings.site->seeds;
+        auto site_http = runtime::http_server::listen(
+            settings.site->listen, s->http_loops, site_http_limits(),
+            [&i](runtime::http_exchange& e) { return answer_site_call(i, e); });
+        if (!succeeded(site_http)) {
+            return control_error{error(site_http).message};
+        }
+        s->site_http = std::move(value(site_http));
+        i.loop.post([&i] { start_site(i); });
+    }
     start_duties(i);
     log_event(severity::info, event::started,
               {{"name", settings.name},
@@ -120,8 +148,19 @@
         end_watches(i, "this instance stops");
         i.raft->stop();
         state_->http->stop_accepting();
+        if (state_->site_http) {
+            state_->site_http->stop_accepting();
+            end_site_watches(i);
+        }
         finished();
     });
 }
 
+void control_server::reload(const control_settings& settings) {
+    instance& i = state_->shared;
+    if (settings.site && i.site) {
+        i.loop.post([&i, seeds = settings.site->seeds] { i.site->seeds = seeds; });
+    }
+}
+
 }  // namespace burdockdeck::control
--- a/libs/control/src/settings.cpp
+++ b/libs/control/src/settings.cpp
@@ -3,6 +3,28 @@
 
 namespace burdockdeck::control {
 
+namespace {
+
+constexpr std::int64_t max_port = 65535;
+
+site_settings get_site_settings(settings::map_reader& reader) {
+    settings::map_reader site = reader.get_map("site");
+    site_settings s;
+    s.listen = get_endpoint(site, "listen");
+    s.seeds = get_endpoints(site, "seeds");
+    s.rpc_port = static_cast<std::uint16_t>(site.get_integer("rpc_port", 1, max_port));
+    s.sidecar_port = static_cast<std::uint16_t>(site.get_integer("sidecar_port", 1, max_port));
+    s.founding = site.get_flag("founding", false);
+    s.voters = 2 * static_cast<std::uint32_t>(site.get_integer("losses_to_bear", 0, 4, 1)) + 1;
+    s.lost_after = site.get_milliseconds("lost_after_ms", 500, 600'000, 1500);
+    s.announce_interval = site.get_milliseconds("announce_interval_ms", 50, 600'000, 1200);
+    s.store_window = std::chrono::seconds(site.get_integer("store_window_s", 1, 3600, 5));
+    (void)site.finish();
+    return s;
+}
+
+}  // namespace
+
 result<control_settings, settings::settings_error> load_settings(const std::string& path) {
     settings::map_reader reader = settings::map_reader::load(path);
     control_settings s;
@@ -28,6 +50,9 @@
         reader.fail("election_min_ms",
                     "must be at least three heartbeats and less than election_max_ms");
     }
+    if (reader.has("site")) {
+        s.site = get_site_settings(reader);
+    }
     if (const auto failed = reader.finish()) {
         return *failed;
     }
--- /dev/null
+++ b/libs/control/src/site.cpp
@@ -0,0 +1,191 @@
+// Announcements and watches of one control instance.
+#include "site.h"
+
+#include "runtime/clock.h"
+#include "runtime/http.h"
+#include "runtime/log.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+// Refreshed announcements wait this long for others, so that one call carries several.
+constexpr duration relay_gather = std::chrono::milliseconds(25);
+constexpr duration relay_timeout = std::chrono::milliseconds(1000);
+constexpr duration upkeep_interval = std::chrono::milliseconds(200);
+// Every watcher hears something at least this often.
+constexpr duration watch_heartbeat = std::chrono::milliseconds(400);
+// An upstream that left is remembered, so that a late announcement of it is known as old.
+constexpr duration gone_kept = std::chrono::seconds(60);
+constexpr duration silence_kept = std::chrono::seconds(60);
+
+rpc::site_update update_for(instance& i, const site_watcher& w, gateway_watch& known) {
+    rpc::site_update update;
+    const schema::deployment_record& d = i.raft->state().deployment();
+    update.set_in_contact(!i.raft->isolated());
+    update.set_leading(i.raft->is_leader());
+    update.set_version(d.version());
+    if (d.version() > known.known_version) {
+        *update.mutable_deployment() = d;
+        known.known_version = d.version();
+    }
+    for (schema::upstream_announcement& a : changed_since(i.site->upstreams, w.known())) {
+        *update.add_announcements() = std::move(a);
+    }
+    for (const std::string& address : i.raft->member_addresses()) {
+        update.add_control_addresses(address);
+    }
+    update.set_gateways(static_cast<std::uint32_t>(i.site->watchers.size()));
+    return update;
+}
+
+void send_update(instance& i, const std::shared_ptr<site_watcher>& w, gateway_watch& known) {
+    w->send(update_for(i, *w, known), i.site->upstreams.changes);
+}
+
+boost::asio::awaitable<void> relay_to(instance& i, std::string address,
+                                      rpc::announcement_relay batch) {
+    const std::shared_ptr<rpc::control_peer::Stub> stub = peer_stub(i, address);
+    const auto start = [&stub](auto... arguments) { stub->async()->relay(arguments...); };
+    auto sent = co_await runtime::call_unary<rpc::acknowledgement>(
+        i.loop.context(), i.access, std::move(batch), relay_timeout, start);
+    if (!succeeded(sent)) {
+        // The connection may have gone silent; the next call opens another.
+        const auto found = i.site->peers.find(address);
+        if (found != i.site->peers.end() && found->second == stub) {
+            i.site->peers.erase(found);
+            log_event(severity::info, event::relay_lost,
+                      {{"peer", address}, {"reason", error(sent).message}});
+        }
+    }
+}
+
+void flush_relay(instance& i) {
+    if (i.site->to_relay.empty()) {
+        return;
+    }
+    rpc::announcement_relay batch;
+    batch.mutable_announcements()->Assign(i.site->to_relay.begin(), i.site->to_relay.end());
+    i.site->to_relay.clear();
+    const std::string self = to_text(i.settings.advertise);
+    for (const std::string& address : i.raft->member_addresses()) {
+        if (address != self) {
+            runtime::spawn(i.loop, [&i, address, batch] { return relay_to(i, address, batch); });
+        }
+    }
+}
+
+boost::asio::awaitable<void> flush_relay_later(instance& i) {
+    co_await runtime::sleep_for(relay_gather);
+    i.site->relay_scheduled = false;
+    flush_relay(i);
+}
+
+void drop_old_upstreams(instance& i, time_point now) {
+    for (const std::string& id :
+         registry::expire(i.site->upstreams, now, gone_kept, silence_kept)) {
+        log_event(severity::info, event::upstream_dropped, {{"upstream", id}});
+    }
+}
+
+boost::asio::awaitable<void> keep_up(instance& i) {
+    time_point heartbeat_at{};
+    while (!i.stopping) {
+        const time_point now = runtime::boot_now();
+        drop_old_upstreams(i, now);
+        if (i.raft->is_leader()) {
+            repair_members(i);
+        }
+        if (now >= heartbeat_at) {
+            heartbeat_at = now + watch_heartbeat;
+            for (auto& [w, known] : i.site->watchers) {
+                if (w->ready()) {
+                    send_update(i, w, known);
+                }
+            }
+        }
+        co_await runtime::sleep_for(upkeep_interval);
+    }
+}
+
+}  // namespace
+
+void start_site(instance& i) {
+    start_joining(i);
+    runtime::spawn(i.loop, [&i] { return keep_up(i); });
+}
+
+void end_site_watches(instance& i) {
+    const auto ended = i.site->watchers;
+    for (const auto& [w, known] : ended) {
+        w->end(grpc::Status(grpc::StatusCode::UNAVAILABLE, "this instance stops"));
+    }
+}
+
+void take_announcement(instance& i, const schema::upstream_announcement& a, bool relayed) {
+    const registry::merge_result merged =
+        registry::merge(i.site->upstreams, a, runtime::boot_now());
+    if (merged == registry::merge_result::outdated) {
+        log_event(severity::debug, event::announcement_refused,
+                  {{"upstream", a.id()}, {"sequence", a.sequence()}, {"reason", "outdated"}});
+        return;
+    }
+    if (merged == registry::merge_result::changed) {
+        log_event(severity::info, event::upstream_changed,
+                  {{"upstream", a.id()},
+                   {"address", a.address()},
+                   {"born_ms", a.born_ms()},
+                   {"sequence", a.sequence()},
+                   {"state", a.state()},
+                   {"models", a.models_size()}});
+        update_site_watchers(i);
+    }
+    if (relayed) {
+        return;
+    }
+    i.site->to_relay.push_back(a);
+    if (merged == registry::merge_result::changed) {
+        flush_relay(i);
+    } else if (!i.site->relay_scheduled) {
+        i.site->relay_scheduled = true;
+        runtime::spawn(i.loop, [&i] { return flush_relay_later(i); });
+    }
+}
+
+void open_site_watch(instance& i, std::shared_ptr<site_watcher> w,
+                     const rpc::watch_site_request& request) {
+    gateway_watch& known = i.site->watchers[w];
+    known.name = request.name();
+    known.known_version = request.known_version();
+    log_event(severity::info, event::watch_opened,
+              {{"gateway", request.name()}, {"known_version", request.known_version()}});
+    send_update(i, w, known);
+}
+
+void update_site_watchers(instance& i) {
+    for (auto& [w, known] : i.site->watchers) {
+        const bool behind = known.known_version < i.raft->state().deployment().version() ||
+                            w->known() < i.site->upstreams.changes;
+        if (behind && w->ready()) {
+            send_update(i, w, known);
+        }
+    }
+}
+
+std::string rpc_address(const instance& i, const settings::endpoint& seed) {
+    return to_text(settings::endpoint{seed.ip, i.settings.site->rpc_port});
+}
+
+std::shared_ptr<rpc::control_peer::Stub> peer_stub(instance& i, const std::string& address) {
+    auto& stub = i.site->peers[address];
+    if (stub == nullptr) {
+        stub = rpc::control_peer::NewStub(runtime::open_channel(address, i.access));
+    }
+    return stub;
+}
+
+}  // namespace burdockdeck::control
--- /dev/null
+++ b/libs/control/src/site.h
@@ -0,0 +1,75 @@
+// The site as one control instance knows it: announced upstreams, the gateways that watch, and the
+// other instances to pass announcements on to. Belongs to the control loop.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/site_protocol.h"
+#include "instance.h"
+#include "registry/registry.h"
+#include "watcher.h"
+
+namespace burdockdeck::control {
+
+// `known()` of the stream is the number of the registry's last change that was sent.
+using site_watcher = update_stream<rpc::site_update>;
+
+struct gateway_watch {
+    std::string name;
+    std::uint64_t known_version = 0;
+};
+
+struct demand_record {
+    rpc::demand_report latest;
+    time_point heard{};
+};
+
+struct site_state {
+    site_protocol protocol;
+    std::vector<settings::endpoint> seeds;
+    registry::registry upstreams;
+    std::map<std::shared_ptr<site_watcher>, gateway_watch> watchers;
+    std::map<std::string, std::shared_ptr<rpc::control_peer::Stub>> peers;
+    std::vector<schema::upstream_announcement> to_relay;
+    bool relay_scheduled = false;
+    // What gateways last reported, by name.
+    std::map<std::string, demand_record> demand;
+    // Decoded from the deployment in force.
+    deployment::site current;
+};
+
+// Starts joining, relaying and the upkeep of watches.
+void start_site(instance& i);
+void end_site_watches(instance& i);
+
+// --- Announcements
+
+// Takes an announcement in and passes it on at once if it changes anything.
+void take_announcement(instance& i, const schema::upstream_announcement& a, bool relayed);
+
+// --- Watches
+
+void open_site_watch(instance& i, std::shared_ptr<site_watcher> w,
+                     const rpc::watch_site_request& request);
+// Sends each watcher what it does not know yet.
+void update_site_watchers(instance& i);
+
+// --- Membership
+
+// Founds or joins the cluster, and comes back when this instance was swapped out.
+void start_joining(instance& i);
+// Takes up another instance's request to join, if this one leads.
+[[nodiscard]] rpc::join_reply answer_join(instance& i, const rpc::join_request& request);
+// Swaps lost voters for learners that have caught up. Leader only.
+void repair_members(instance& i);
+// The address at which `seed` takes calls from other instances.
+[[nodiscard]] std::string rpc_address(const instance& i, const settings::endpoint& seed);
+// A connection to another instance's peer service.
+[[nodiscard]] std::shared_ptr<rpc::control_peer::Stub> peer_stub(instance& i,
+                                                                 const std::string& address);
+
+}  // namespace burdockdeck::control
--- /dev/null
+++ b/libs/control/src/site_http.cpp
@@ -0,0 +1,197 @@
+// Runs each call on the control loop and answers on its connection's loop.
+#include "site_http.h"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "runtime/clock.h"
+#include "runtime/log.h"
+#include "site.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+using runtime::event;
+using runtime::http_response;
+using runtime::log_event;
+using runtime::severity;
+
+using answer_callback = std::function<void(http_response)>;
+
+constexpr std::size_t largest_deployment_bytes = 16 * 1024 * 1024;
+constexpr duration idle_connection = std::chrono::seconds(20);
+// Operators and upstreams leave a call after about a second.
+constexpr duration forward_timeout = std::chrono::milliseconds(900);
+
+http_response response_of(unsigned status, std::string body = "") {
+    http_response r;
+    r.status = status;
+    r.body = std::move(body);
+    return r;
+}
+
+void refuse(instance& i, unsigned status, const std::string& message, const answer_callback& done) {
+    done(response_of(status, i.site->protocol.encode_error(message)));
+}
+
+boost::asio::awaitable<void> submit_to_leader(instance& i, schema::command command,
+                                              answer_callback done) {
+    const std::shared_ptr<rpc::control::Stub> leader = leader_stub(i);
+    if (leader == nullptr) {
+        refuse(i, 503, "no leader", done);
+        co_return;
+    }
+    const auto start = [&leader](auto... arguments) { leader->async()->submit(arguments...); };
+    rpc::submit_request request;
+    *request.mutable_command() = std::move(command);
+    request.set_forwarded(true);
+    auto answer = co_await runtime::call_unary<rpc::submit_reply>(
+        i.loop.context(), i.access, std::move(request), forward_timeout, start);
+    if (!succeeded(answer)) {
+        i.leader_stubs.clear();
+        refuse(i, 503, "the leader did not answer", done);
+        co_return;
+    }
+    if (value(answer).status() != rpc::submit_reply::applied) {
+        refuse(i, 503, "not committed", done);
+        co_return;
+    }
+    done(response_of(200, "{}"));
+}
+
+void submit(instance& i, schema::command command, const answer_callback& done) {
+    if (!i.raft->is_leader()) {
+        runtime::spawn(i.loop, [&i, command, done] { return submit_to_leader(i, command, done); });
+        return;
+    }
+    i.raft->submit(std::move(command), [&i, done](submit_fate fate, const auto&) {
+        if (fate == submit_fate::applied) {
+            done(response_of(200, "{}"));
+        } else {
+            refuse(i, 503, "not committed", done);
+        }
+    });
+}
+
+void replace_deployment(instance& i, const std::string& body, const answer_callback& done) {
+    const auto decoded = i.site->protocol.decode_deployment(body);
+    if (!succeeded(decoded)) {
+        log_event(severity::warning, event::deployment_refused,
+                  {{"reason", error(decoded).message}});
+        refuse(i, 400, error(decoded).message, done);
+        return;
+    }
+    const auto checked = deployment::check(value(decoded));
+    if (!succeeded(checked)) {
+        log_event(severity::warning, event::deployment_refused,
+                  {{"version", value(decoded).version}, {"reason", error(checked).message}});
+        refuse(i, 400, error(checked).message, done);
+        return;
+    }
+    schema::command command;
+    schema::deployment_record& next = *command.mutable_replace_deployment()->mutable_next();
+    next.set_version(value(decoded).version);
+    // A version that is known here already changes nothing, so its text need not travel.
+    if (value(decoded).version > i.raft->state().deployment().version()) {
+        next.set_source(body);
+    }
+    log_event(severity::info, event::deployment_in_force,
+              {{"version", value(decoded).version}, {"step", "submitted"}});
+    submit(i, std::move(command), done);
+}
+
+void describe_deployment(instance& i, const answer_callback& done) {
+    i.raft->read_barrier([&i, done](bool fresh) {
+        const schema::deployment_record& d = i.raft->state().deployment();
+        if (!fresh || d.version() == 0) {
+            const std::string why = fresh ? "no deployment yet" : "the newest is not known here";
+            log_event(severity::info, event::read_refused,
+                      {{"reason", why}, {"version", d.version()}});
+            refuse(i, 503, why, done);
+            return;
+        }
+        done(response_of(200, d.source()));
+    });
+}
+
+void announce(instance& i, const std::string& id, const std::string& body,
+              const answer_callback& done) {
+    const auto decoded = i.site->protocol.decode_announcement(id, body);
+    if (!succeeded(decoded)) {
+        log_event(severity::warning, event::announcement_refused,
+                  {{"upstream", id}, {"reason", error(decoded).message}});
+        refuse(i, 400, error(decoded).message, done);
+        return;
+    }
+    take_announcement(i, value(decoded), false);
+    done(response_of(200, "{}"));
+}
+
+// An upstream that leaves may say nothing but its id.
+void leave(instance& i, const std::string& id, const answer_callback& done) {
+    const auto found = i.site->upstreams.upstreams.find(id);
+    if (found != i.site->upstreams.upstreams.end()) {
+        schema::upstream_announcement gone = found->second.latest;
+        gone.set_state(schema::announced_gone);
+        take_announcement(i, gone, false);
+    }
+    done(response_of(200, "{}"));
+}
+
+void answer_on_loop(instance& i, const runtime::http_request& request,
+                    const answer_callback& done) {
+    const site_call call = i.site->protocol.call_of(request.method, request.target);
+    switch (call.kind) {
+        case site_call_kind::replace_deployment:
+            replace_deployment(i, request.body, done);
+            return;
+        case site_call_kind::describe_deployment:
+            describe_deployment(i, done);
+            return;
+        case site_call_kind::announce:
+            announce(i, call.upstream_id, request.body, done);
+            return;
+        case site_call_kind::leave:
+            leave(i, call.upstream_id, done);
+            return;
+        case site_call_kind::wrong_method:
+            refuse(i, 405, "method not allowed", done);
+            return;
+        case site_call_kind::unknown:
+            refuse(i, 404, "no such call", done);
+            return;
+    }
+}
+
+}  // namespace
+
+runtime::http_limits site_http_limits() {
+    runtime::http_limits limits;
+    limits.body_bytes = largest_deployment_bytes;
+    limits.idle = idle_connection;
+    return limits;
+}
+
+boost::asio::awaitable<void> answer_site_call(instance& i, runtime::http_exchange& exchange) {
+    const auto executor = co_await boost::asio::this_coro::executor;
+    http_response response =
+        co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
+                                             void(http_response)>(
+            [&](auto handler) {
+                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+                const answer_callback done = [shared, executor](http_response r) {
+                    boost::asio::post(executor, [shared, r = std::move(r)]() mutable {
+                        (*shared)(std::move(r));
+                    });
+                };
+                const runtime::http_request& request = exchange.request();
+                i.loop.post([&i, &request, done] { answer_on_loop(i, request, done); });
+            },
+            boost::asio::use_awaitable);
+    (void)co_await exchange.respond(std::move(response));
+}
+
+}  // namespace burdockdeck::control
--- a/libs/control/src/status.cpp
+++ b/libs/control/src/status.cpp
@@ -16,8 +16,7 @@
 }
 
 void explain_model(const schema::model& m, const instance& i, rpc::explain_reply& reply) {
-    const auto demand =
-        demand_of(i.leader_fleet, i.raft->state(), std::chrono::steady_clock::now());
+    const auto demand = demand_of(i.leader_fleet, i.raft->state(), runtime::boot_now());
     const auto load = demand.find(m.name());
     const double replicas = load == demand.end() ? 0.0 : load->second;
     reply.add_lines("declared: version " + m.version() + ", " +
@@ -53,7 +52,7 @@
     for (const auto& [name, record] : state.agents()) {
         *reply.add_agents() = record;
     }
-    const time_point now = std::chrono::steady_clock::now();
+    const time_point now = runtime::boot_now();
     for (const auto& [name, s] : i.leader_fleet.subscribers) {
         rpc::subscriber_status& out = *reply.add_subscribers();
         out.set_name(name);
--- a/libs/control/src/watcher.h
+++ b/libs/control/src/watcher.h
@@ -1,9 +1,8 @@
-// One subscriber's stream of table updates. Its calls come from gRPC threads; the flags that both
-// sides use are guarded by a mutex.
+// One subscriber's stream of updates. Its calls come from gRPC threads; the flags that both sides
+// use are guarded by a mutex.
 #pragma once
 
 #include <mutex>
-#include <optional>
 #include <string>
 
 #include "catalog.pb.h"
@@ -11,41 +10,103 @@
 
 namespace burdockdeck::control {
 
-class watcher : public grpc::ServerWriteReactor<schema::table_update>,
-                public std::enable_shared_from_this<watcher> {
+template <class Update>
+class update_stream : public grpc::ServerWriteReactor<Update>,
+                      public std::enable_shared_from_this<update_stream<Update>> {
 public:
-    explicit watcher(std::uint64_t known) : known_(known) {}
+    explicit update_stream(std::uint64_t known) : known_(known) {}
 
     // Called once on a gRPC thread when the stream has ended.
     std::function<void()> on_end;
     // Called on a gRPC thread when the last update is out and another may be sent.
     std::function<void()> on_idle;
 
-    void keep_alive(std::shared_ptr<watcher> self) {
+    void keep_alive(std::shared_ptr<update_stream> self) {
         self_ = std::move(self);
     }
-    // The revision last sent.
+    // What the subscriber knows: the number given with the last update sent.
     [[nodiscard]] std::uint64_t known() const {
         return known_;
     }
     // True if an update may be sent now.
-    [[nodiscard]] bool ready();
-    void send(schema::table_update update);
-    void end(const grpc::Status& status);
+    [[nodiscard]] bool ready() {
+        const std::lock_guard lock(mutex_);
+        return !writing_ && !ended_;
+    }
+
+    void send(Update update, std::uint64_t known) {
+        {
+            const std::lock_guard lock(mutex_);
+            if (writing_ || ended_) {
+                return;
+            }
+            writing_ = true;
+            update_ = std::move(update);
+            known_ = known;
+        }
+        this->StartWrite(&update_);
+    }
 
-    void OnWriteDone(bool ok) override;
-    void OnCancel() override;
-    void OnDone() override;
+    void end(const grpc::Status& status) {
+        {
+            const std::lock_guard lock(mutex_);
+            if (ended_) {
+                return;
+            }
+            ended_ = true;
+            status_ = status;
+            if (writing_) {
+                return;
+            }
+            finished_ = true;
+        }
+        this->Finish(status);
+    }
+
+    void OnWriteDone(bool ok) override {
+        bool idle = false;
+        {
+            const std::lock_guard lock(mutex_);
+            writing_ = false;
+            idle = ok && !ended_;
+            ended_ = ended_ || !ok;
+        }
+        if (idle) {
+            on_idle();
+            return;
+        }
+        {
+            const std::lock_guard lock(mutex_);
+            if (finished_) {
+                return;
+            }
+            finished_ = true;
+        }
+        this->Finish(status_);
+    }
+
+    void OnCancel() override {
+        end(grpc::Status::CANCELLED);
+    }
+
+    void OnDone() override {
+        if (on_end) {
+            on_end();
+        }
+        self_.reset();
+    }
 
 private:
     std::mutex mutex_;
     std::uint64_t known_;
-    schema::table_update update_;
+    Update update_;
     bool writing_ = false;
     bool ended_ = false;
     bool finished_ = false;
     grpc::Status status_;
-    std::shared_ptr<watcher> self_;
+    std::shared_ptr<update_stream> self_;
 };
 
+using watcher = update_stream<schema::table_update>;
+
 }  // namespace burdockdeck::control
--- /dev/null
+++ b/libs/deployment/include/deployment/deployment.h
@@ -0,0 +1,113 @@
+// The operators' routes, services and limits, decoded and checked.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/name_table.h"
+#include "base/result.h"
+#include "base/time.h"
+
+namespace burdockdeck::deployment {
+
+// What may be done twice with a request of a route.
+enum class repeatability { idempotent, non_idempotent, streaming };
+
+inline constexpr name_table<repeatability, 3> repeatability_names{{
+    {repeatability::idempotent, "idempotent"},
+    {repeatability::non_idempotent, "non_idempotent"},
+    {repeatability::streaming, "streaming"},
+}};
+
+struct weighted_service {
+    std::string service;
+    double weight = 0;
+};
+
+// Invariants: `prefix` begins and ends with a slash; `services` is not empty and its weights sum to
+// more than 0.
+struct route {
+    std::string name;
+    std::string host;
+    std::string prefix;
+    repeatability kind = repeatability::idempotent;
+    // The longest time a request is kept waiting.
+    duration timeout{};
+    // An answer within this time is worth most; for streams, the first event.
+    duration objective{};
+    // The longest pause between two events of a stream that is on time.
+    duration longest_pause{};
+    // 0 is the most urgent.
+    std::uint32_t priority = 0;
+    // Upstreams that one attempt of a caller may be sent to.
+    std::uint32_t max_sends = 1;
+    bool resumable = false;
+    std::vector<weighted_service> services;
+};
+
+struct model_spec {
+    std::string name;
+    double weights_mb = 0;
+    std::uint32_t adapters = 0;
+    double adapter_mb = 0;
+    // Times of a load from the store, from the host's disk and from its memory.
+    duration store_load{};
+    duration disk_load{};
+    duration memory_load{};
+};
+
+// Sizes of one engine of a service. `slots` is 0 for a service without engines.
+struct engine_spec {
+    std::uint32_t slots = 0;
+    std::uint64_t kv_tokens = 0;
+    double weights_mb = 0;
+    std::uint32_t max_adapters = 0;
+    // Loads from the weight store a second, over all engines of the service.
+    double store_loads_per_s = 0;
+    std::vector<model_spec> models;
+};
+
+struct service_spec {
+    std::string name;
+    std::string health_path;
+    // Connections that one upstream takes from all callers together.
+    std::uint32_t max_connections = 0;
+    engine_spec engine;
+};
+
+// What a caller may send, and how long it may take.
+struct caller_limits {
+    std::uint32_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 4 * 1024 * 1024;
+    duration header_timeout = std::chrono::seconds(3);
+    duration idle_timeout = std::chrono::seconds(15);
+};
+
+// Version 0 means that no deployment is in force.
+struct site {
+    std::uint64_t version = 0;
+    std::vector<route> routes;
+    std::vector<service_spec> services;
+    caller_limits limits;
+};
+
+struct deployment_error {
+    std::string message;
+};
+
+// --- Queries
+
+// Refuses what no request could be routed by: unknown services, equal routes, no weight, no time.
+[[nodiscard]] result<nothing, deployment_error> check(const site& s);
+// The route of `host` with the longest prefix that begins `path`; null if there is none. `host` may
+// carry a port, and its case does not matter.
+[[nodiscard]] const route* match(const site& s, std::string_view host, std::string_view path);
+// One of the route's services by weight. `draw` is in [0, 1).
+[[nodiscard]] const std::string& service_of(const route& r, double draw);
+[[nodiscard]] const service_spec* find_service(const site& s, std::string_view name);
+[[nodiscard]] const model_spec* find_model(const engine_spec& e, std::string_view name);
+
+}  // namespace burdockdeck::deployment
--- /dev/null
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -0,0 +1,96 @@
+// What one gateway believes of an upstream: what it announced, and what was observed of it.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+
+namespace burdockdeck::dispatch {
+
+// One part of a prompt; equal ids of one model and adapter are equal tokens.
+struct prompt_part {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+// What a request asks of an engine. `model` is empty for a plain service.
+struct work {
+    std::string model;
+    std::string adapter;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t output_tokens = 0;
+    // In order; the last part belongs to the request or its session alone.
+    std::vector<prompt_part> parts;
+};
+
+// Prompt parts that an engine is believed to keep, the least recently used dropped first.
+// Invariants: `tokens` is the sum over `order`; `where` indexes `order`.
+struct kept_parts {
+    struct kept {
+        std::uint64_t key = 0;
+        std::uint32_t tokens = 0;
+    };
+    std::list<kept> order;
+    std::unordered_map<std::uint64_t, std::list<kept>::iterator> where;
+    std::uint64_t tokens = 0;
+};
+
+struct held_model {
+    std::uint32_t version = 0;
+    // Adapters with the time until which each is promised to stay.
+    std::map<std::string, time_point> adapters;
+};
+
+// Outcomes of late, smoothed. `errors` is a share in [0, 1]; `slowness` is the observed time over
+// the expected one, 1 if as expected.
+struct health_record {
+    double errors = 0;
+    double slowness = 1;
+    std::uint32_t failures_in_row = 0;
+    time_point ejected_until{};
+};
+
+// Invariants: id and address never change; an upstream with another `born_ms` is another upstream.
+struct upstream {
+    std::string id;
+    std::string address;
+    std::string service;
+    std::string failure_domain;
+    std::uint64_t born_ms = 0;
+    std::uint32_t slots = 1;
+    // False once it drains or has left: it gets no new work.
+    bool accepting = true;
+    // When it is taken away; the greatest time if it did not say.
+    time_point leaves_at = time_point::max();
+    time_point cold_until{};
+    std::map<std::string, held_model, std::less<>> models;
+
+    // Of this gateway's own requests.
+    std::uint32_t in_flight = 0;
+    std::uint64_t unread_tokens = 0;
+    std::uint64_t kv_tokens = 0;
+    kept_parts kept;
+    health_record health;
+};
+
+// --- Queries
+
+// Prompt tokens of `w` that `u` would have to read, by what this gateway sent there.
+[[nodiscard]] std::uint32_t tokens_to_read(const upstream& u, const work& w);
+// Identifies the shared parts of `w` together with its model and adapter; 0 if it shares none.
+[[nodiscard]] std::uint64_t affinity_key(const work& w);
+
+// --- Commands
+
+// Notes that `u` reads the parts of `w`; `capacity` is its memory in tokens.
+void note_kept(upstream& u, const work& w, std::uint64_t capacity);
+// Forgets what was kept for `model`, or everything if it is empty.
+void forget_kept(upstream& u);
+
+}  // namespace burdockdeck::dispatch
--- /dev/null
+++ b/libs/dispatch/src/choice.cpp
@@ -0,0 +1,185 @@
+// Expected times, ejection of outliers, and the choice among what is left.
+#include "dispatch/choice.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "base/checksum.h"
+
+namespace burdockdeck::dispatch {
+
+namespace {
+
+// Weight of the newest outcome in the smoothed records.
+constexpr double smoothing = 0.2;
+// An upstream that was unreachable is left alone this long, doubled by each failure in a row.
+constexpr duration first_ejection = std::chrono::milliseconds(250);
+constexpr duration longest_ejection = std::chrono::seconds(4);
+// Failures in a row after which answers with errors eject as well.
+constexpr std::uint32_t errors_to_eject = 4;
+// Work is not sent to an upstream that is taken away sooner than this.
+constexpr duration leave_margin = std::chrono::milliseconds(700);
+// Share of the shared parts taken as kept at the upstream that all gateways prefer for them.
+constexpr double preferred_kept_share = 0.7;
+constexpr double error_weight = 4.0;
+constexpr double worst_slowness = 8.0;
+
+bool holds_adapter(const upstream& u, const work& w, time_point now) {
+    const auto model = u.models.find(w.model);
+    if (model == u.models.end()) {
+        return false;
+    }
+    const auto adapter = model->second.adapters.find(w.adapter);
+    return adapter != model->second.adapters.end() && adapter->second > now;
+}
+
+// Rendezvous hashing: every gateway prefers the same upstream for a key, without messages.
+std::uint64_t preference(std::uint64_t key, const upstream& u) {
+    return checksum_of(std::to_string(key) + u.id);
+}
+
+const upstream* preferred_for(std::uint64_t key, const std::vector<upstream*>& open) {
+    const upstream* best = nullptr;
+    std::uint64_t best_rank = 0;
+    for (const upstream* u : open) {
+        const std::uint64_t rank = preference(key, *u);
+        if (best == nullptr || rank > best_rank) {
+            best = u;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+std::uint32_t shared_tokens(const work& w) {
+    std::uint32_t sum = 0;
+    for (std::size_t i = 0; i + 1 < w.parts.size(); ++i) {
+        sum += w.parts[i].tokens;
+    }
+    return sum;
+}
+
+bool ejected(const upstream& u, time_point now) {
+    return u.health.ejected_until > now;
+}
+
+}  // namespace
+
+obstacle obstacle_to(const upstream& u, const request_view& r, time_point now) {
+    if (!u.accepting || u.service != r.service) {
+        return obstacle::not_accepting;
+    }
+    if (u.leaves_at != time_point::max() && u.leaves_at - now < leave_margin) {
+        return obstacle::leaves_too_soon;
+    }
+    if (!r.needs->model.empty() && u.models.find(r.needs->model) == u.models.end()) {
+        return obstacle::model_absent;
+    }
+    if (r.tried != nullptr && std::find(r.tried->begin(), r.tried->end(), u.id) != r.tried->end()) {
+        return obstacle::tried;
+    }
+    return ejected(u, now) ? obstacle::ejected : obstacle::none;
+}
+
+double expected_ms(const upstream& u, const request_view& r, const choice_settings& s,
+                   time_point now) {
+    double ms = 0;
+    if (r.needs->model.empty()) {
+        const double load = static_cast<double>(u.in_flight) / std::max<double>(1, u.slots);
+        ms = s.plain_call_ms * (1 + 3 * load);
+    } else {
+        ms = static_cast<double>(u.unread_tokens + tokens_to_read(u, *r.needs)) /
+                 s.read_tokens_per_ms +
+             s.batch_cost_ms * u.in_flight;
+        if (!r.needs->adapter.empty() && !holds_adapter(u, *r.needs, now)) {
+            ms += s.adapter_cost_ms;
+        }
+    }
+    ms *= std::clamp(u.health.slowness, 1.0, worst_slowness) * (1 + error_weight * u.health.errors);
+    if (u.cold_until > now) {
+        ms *= 1.5;
+    }
+    return u.failure_domain == r.failure_domain ? ms : ms + s.domain_cost_ms;
+}
+
+std::optional<choice> choose(const std::vector<upstream*>& all, const request_view& r,
+                             const choice_settings& s, time_point now, std::mt19937_64& rng) {
+    std::vector<upstream*> open;
+    std::vector<upstream*> set_aside;
+    for (upstream* u : all) {
+        const obstacle o = obstacle_to(*u, r, now);
+        if (o == obstacle::none) {
+            open.push_back(u);
+        } else if (o == obstacle::ejected) {
+            set_aside.push_back(u);
+        }
+    }
+    const double known = static_cast<double>(open.size() + set_aside.size());
+    if (open.empty() || static_cast<double>(set_aside.size()) > s.max_ejected_share * known) {
+        open.insert(open.end(), set_aside.begin(), set_aside.end());
+    }
+    if (open.empty()) {
+        return std::nullopt;
+    }
+    const std::uint64_t key = affinity_key(*r.needs);
+    const upstream* preferred = key == 0 ? nullptr : preferred_for(key, open);
+    const double shared_ms = shared_tokens(*r.needs) / s.read_tokens_per_ms;
+    std::uniform_real_distribution<double> jitter(0.0, 1.0);
+    choice best;
+    best.expected_ms = std::numeric_limits<double>::max();
+    for (upstream* u : open) {
+        double ms = expected_ms(*u, r, s, now) + jitter(rng);
+        const std::uint32_t unread = tokens_to_read(*u, *r.needs);
+        const bool unknown_here = unread >= r.needs->prompt_tokens;
+        if (u == preferred && unknown_here) {
+            ms -= preferred_kept_share * shared_ms;
+        } else if (u != preferred && preferred != nullptr && unknown_here) {
+            // Reading shared parts in one more place takes memory from others there.
+            ms += 0.5 * shared_ms;
+        }
+        if (ms < best.expected_ms) {
+            best = {u, false, unread, ms};
+        }
+    }
+    best.needs_adapter = !r.needs->adapter.empty() && !holds_adapter(*best.to, *r.needs, now);
+    return best;
+}
+
+std::optional<choice> choose_any(const std::vector<upstream*>& all, const request_view& r,
+                                 time_point now, std::mt19937_64& rng) {
+    std::vector<upstream*> open;
+    for (upstream* u : all) {
+        if (obstacle_to(*u, r, now) == obstacle::none) {
+            open.push_back(u);
+        }
+    }
+    if (open.empty()) {
+        return std::nullopt;
+    }
+    upstream* u = open[std::uniform_int_distribution<std::size_t>(0, open.size() - 1)(rng)];
+    return choice{u, !r.needs->adapter.empty() && !holds_adapter(*u, *r.needs, now),
+                  tokens_to_read(*u, *r.needs), 0};
+}
+
+void note_outcome(upstream& u, attempt_outcome o, double slowness, time_point now) {
+    health_record& h = u.health;
+    const bool bad = o != attempt_outcome::served;
+    h.errors += smoothing * ((bad ? 1.0 : 0.0) - h.errors);
+    if (slowness > 0) {
+        h.slowness += smoothing * (std::min(slowness, worst_slowness) - h.slowness);
+    }
+    if (!bad) {
+        h.failures_in_row = 0;
+        h.ejected_until = time_point{};
+        return;
+    }
+    ++h.failures_in_row;
+    const bool answers = o == attempt_outcome::failed;
+    if (answers && h.failures_in_row < errors_to_eject) {
+        return;
+    }
+    const std::uint32_t doublings = std::min<std::uint32_t>(h.failures_in_row - 1, 4);
+    h.ejected_until = now + std::min(first_ejection * (1 << doublings), longest_ejection);
+}
+
+}  // namespace burdockdeck::dispatch
--- /dev/null
+++ b/libs/dispatch/src/upstream.cpp
@@ -0,0 +1,86 @@
+// Beliefs about kept prompt parts.
+#include "dispatch/upstream.h"
+
+#include "base/checksum.h"
+
+namespace burdockdeck::dispatch {
+
+namespace {
+
+std::uint64_t seed_of(const work& w) {
+    return checksum_of(w.model + "/" + w.adapter);
+}
+
+std::uint64_t mix(std::uint64_t a, std::uint64_t b) {
+    std::uint64_t x = a ^ (b + 0x9e3779b97f4a7c15ULL + (a << 6) + (a >> 2));
+    x ^= x >> 31;
+    x *= 0xbf58476d1ce4e5b9ULL;
+    return x ^ (x >> 29);
+}
+
+// Keys of the parts in order. A part counts only together with all before it.
+template <class Visit>
+void for_each_key(const work& w, Visit visit) {
+    std::uint64_t key = seed_of(w);
+    for (const prompt_part& p : w.parts) {
+        key = mix(key, p.id);
+        if (!visit(key, p)) {
+            return;
+        }
+    }
+}
+
+}  // namespace
+
+std::uint32_t tokens_to_read(const upstream& u, const work& w) {
+    std::uint32_t kept = 0;
+    for_each_key(w, [&](std::uint64_t key, const prompt_part& p) {
+        if (!u.kept.where.contains(key)) {
+            return false;
+        }
+        kept += p.tokens;
+        return true;
+    });
+    return w.prompt_tokens > kept ? w.prompt_tokens - kept : 1;
+}
+
+std::uint64_t affinity_key(const work& w) {
+    if (w.parts.size() < 2) {
+        return 0;
+    }
+    std::uint64_t last_shared = 0;
+    for_each_key(w, [&](std::uint64_t key, const prompt_part& p) {
+        if (&p == &w.parts.back()) {
+            return false;
+        }
+        last_shared = key;
+        return true;
+    });
+    return last_shared;
+}
+
+void note_kept(upstream& u, const work& w, std::uint64_t capacity) {
+    kept_parts& k = u.kept;
+    for_each_key(w, [&](std::uint64_t key, const prompt_part& p) {
+        const auto found = k.where.find(key);
+        if (found != k.where.end()) {
+            k.order.splice(k.order.begin(), k.order, found->second);
+            return true;
+        }
+        k.order.push_front({key, p.tokens});
+        k.where[key] = k.order.begin();
+        k.tokens += p.tokens;
+        return true;
+    });
+    while (k.tokens > capacity && !k.order.empty()) {
+        k.tokens -= k.order.back().tokens;
+        k.where.erase(k.order.back().key);
+        k.order.pop_back();
+    }
+}
+
+void forget_kept(upstream& u) {
+    u.kept = {};
+}
+
+}  // namespace burdockdeck::dispatch
--- /dev/null
+++ b/libs/gateway/include/gateway/settings.h
@@ -0,0 +1,40 @@
+// Settings of burdockdeck-gateway.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "dispatch/budget.h"
+#include "dispatch/choice.h"
+#include "settings/common.h"
+
+namespace burdockdeck::gateway {
+
+struct gateway_settings {
+    std::string name;
+    std::string failure_domain;
+    // Where callers connect.
+    settings::endpoint listen;
+    // Where the platform asks whether this gateway takes new connections.
+    settings::endpoint ready_listen;
+    // Where /metrics is served; none if the port is 0.
+    settings::endpoint metrics_listen;
+    // Some control instances; only their IP numbers count, the port is `control_rpc_port`.
+    std::vector<settings::endpoint> seeds;
+    std::uint16_t control_rpc_port = 0;
+    // Port of the sidecar at an engine's IP number.
+    std::uint16_t sidecar_port = 0;
+    settings::access_settings access;
+    settings::log_settings log;
+    // From the signal to stop until the process must have ended.
+    duration grace = std::chrono::seconds(8);
+    dispatch::budget_settings budget;
+    dispatch::choice_settings choice;
+};
+
+[[nodiscard]] result<gateway_settings, settings::settings_error> load_settings(
+    const std::string& path);
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/attempt.cpp
@@ -0,0 +1,411 @@
+// One attempt at one upstream: connection, send, and the answer's way back.
+#include <algorithm>
+#include <array>
+#include <cstdio>
+
+#include "request_state.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+
+namespace burdockdeck::gateway {
+
+namespace asio = boost::asio;
+using dispatch::attempt_outcome;
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+namespace {
+
+constexpr duration connect_timeout = std::chrono::milliseconds(250);
+// An upstream that does not say how long it keeps idle connections.
+constexpr duration default_keep_alive = std::chrono::seconds(4);
+// Answers up to this size are read whole before any of them is passed on.
+constexpr std::size_t whole_answer_bytes = 1024 * 1024;
+constexpr unsigned server_error = 500;
+
+struct in_flight_guard {
+    core& c;
+    std::string id;
+    std::string service;
+    std::string model;
+    std::uint32_t unread;
+    std::uint32_t kv;
+
+    in_flight_guard(core& cc, const dispatch::choice& to, const request_state& r)
+        : c(cc),
+          id(to.to->id),
+          service(r.service),
+          model(r.facts.needs.model),
+          unread(to.read_tokens),
+          kv(r.facts.needs.prompt_tokens + r.facts.needs.output_tokens) {
+        ++to.to->in_flight;
+        to.to->unread_tokens += unread;
+        to.to->kv_tokens += kv;
+        ++c.demand[{service, model}].in_flight;
+    }
+    in_flight_guard(const in_flight_guard&) = delete;
+    in_flight_guard& operator=(const in_flight_guard&) = delete;
+    // The prompt has been read: the first event is there.
+    void prompt_read() {
+        if (dispatch::upstream* u = find()) {
+            u->unread_tokens -= std::min<std::uint64_t>(u->unread_tokens, unread);
+        }
+        unread = 0;
+    }
+    ~in_flight_guard() {
+        prompt_read();
+        if (dispatch::upstream* u = find()) {
+            u->in_flight -= u->in_flight > 0 ? 1 : 0;
+            u->kv_tokens -= std::min<std::uint64_t>(u->kv_tokens, kv);
+        }
+        --c.demand[{service, model}].in_flight;
+    }
+    [[nodiscard]] dispatch::upstream* find() const {
+        const auto found = c.view.upstreams.find(id);
+        return found == c.view.upstreams.end() ? nullptr : &found->second;
+    }
+};
+
+// 0 is served first at an engine: the route's rank, and patient kinds behind hasty ones.
+std::uint32_t urgency_of(const deployment::route& r) {
+    constexpr duration patient = std::chrono::seconds(2);
+    const std::uint32_t rank = std::min(r.priority, 3U);
+    return 2 + 2 * rank + (r.objective >= patient ? 1 : 0);
+}
+
+header_list headers_to_send(const core& c, const request_state& r, const std::string& target,
+                            std::optional<std::uint64_t> last_event) {
+    header_list out;
+    const std::string_view connection = header_in(r.request.headers, "Connection");
+    for (const auto& [name, value] : r.request.headers) {
+        const bool own = same_name(name, "Content-Length") || same_name(name, "Expect") ||
+                         is_hop_header(name, connection) || c.protocol.is_reserved(name);
+        if (!own) {
+            out.emplace_back(name, value);
+        }
+    }
+    send_facts facts;
+    facts.time_left = time_left(r, runtime::boot_now());
+    facts.target_id = target;
+    if (!r.facts.needs.model.empty()) {
+        facts.urgency = urgency_of(r.route);
+    }
+    facts.last_event = last_event;
+    c.protocol.write_send(out, facts);
+    return out;
+}
+
+header_list headers_to_return(const header_list& from) {
+    header_list out;
+    const std::string_view connection = header_in(from, "Connection");
+    for (const auto& [name, value] : from) {
+        if (!same_name(name, "Content-Length") && !is_hop_header(name, connection)) {
+            out.emplace_back(name, value);
+        }
+    }
+    return out;
+}
+
+std::string chunk_of(std::string_view bytes) {
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string out = size.data();
+    out += bytes;
+    out += "\r\n";
+    return out;
+}
+
+void note(in_flight_guard& guard, attempt_outcome o, double slowness = 0) {
+    if (dispatch::upstream* u = guard.find()) {
+        const bool was_ejected = u->health.ejected_until > runtime::boot_now();
+        dispatch::note_outcome(*u, o, slowness, runtime::boot_now());
+        if (!was_ejected && u->health.ejected_until > runtime::boot_now()) {
+            log_event(severity::info, event::upstream_ejected,
+                      {{"upstream", u->id},
+                       {"failures_in_row", u->health.failures_in_row},
+                       {"errors", u->health.errors}});
+        }
+    }
+}
+
+asio::awaitable<connection_ptr> connection_to(core& c, const request_state& r, std::string id,
+                                              std::string address, std::string& failure) {
+    const bool recent_only = !r.repeatable;
+    if (connection_ptr kept = take_idle(c.pools[id], recent_only, runtime::boot_now())) {
+        co_return kept;
+    }
+    c.metrics.count("burdockdeck_upstream_connections_total");
+    const settings::endpoint to = settings::parse_endpoint(address).value_or(settings::endpoint{});
+    const duration timeout = std::min(connect_timeout, time_left(r, runtime::boot_now()));
+    auto connected = co_await connect(c.traffic.context(), to, timeout);
+    if (!succeeded(connected)) {
+        failure = error(connected).message;
+        co_return nullptr;
+    }
+    co_return value(connected);
+}
+
+void log_failed_attempt(const request_state& r, const std::string& upstream,
+                        std::string_view status) {
+    log_event(severity::info, event::attempt_failed,
+              {{"request", r.facts.id},
+               {"upstream", upstream},
+               {"sends", static_cast<std::uint64_t>(r.tried.size())},
+               {"status", status},
+               {"reason", r.last_failure},
+               {"left_ms", to_milliseconds(time_left(r, runtime::boot_now()))}});
+}
+
+bool is_stream(const exchange& e) {
+    return header_in(e.headers(), "Content-Type").substr(0, 17) == "text/event-stream";
+}
+
+// Passes events on as they arrive.
+asio::awaitable<attempt_end> pass_stream(session& caller, request_state& r,
+                                         std::shared_ptr<exchange> e, in_flight_guard& guard,
+                                         time_point sent_at, double expected_ms) {
+    event_splitter arrived;
+    bool first = true;
+    body_status status = body_status::more;
+    while (status == body_status::more) {
+        const duration left = time_left(r, runtime::boot_now());
+        if (left <= duration::zero()) {
+            r.last_failure = "out of time";
+            break;
+        }
+        std::string bytes;
+        status = co_await e->read(bytes, left);
+        std::string events = take_events(arrived, bytes);
+        if (status == body_status::complete) {
+            events += arrived.pending;
+        }
+        if (events.empty()) {
+            continue;
+        }
+        if (first) {
+            first = false;
+            guard.prompt_read();
+            const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
+            note(guard, attempt_outcome::served,
+                 expected_ms > 0 ? took_ms / (expected_ms + 50) : 0);
+        }
+        if (!r.head_sent) {
+            r.head_sent = true;
+            const header_list headers = headers_to_return(e->headers());
+            if (!co_await caller.begin(e->status(), headers)) {
+                e->abort();
+                co_return attempt_end::finished;
+            }
+        }
+        if (arrived.last_id) {
+            r.events.last_id = arrived.last_id;
+        }
+        const std::string chunk = chunk_of(events);
+        if (!co_await caller.write(chunk)) {
+            e->abort();
+            co_return attempt_end::finished;
+        }
+    }
+    if (status == body_status::complete) {
+        if (!r.head_sent) {
+            r.head_sent = true;
+            const header_list headers = headers_to_return(e->headers());
+            (void)co_await caller.begin(e->status(), headers);
+        }
+        (void)co_await caller.finish();
+        co_return attempt_end::finished;
+    }
+    if (r.last_failure.empty()) {
+        r.last_failure = e->failure();
+    }
+    e->abort();
+    note(guard, attempt_outcome::failed);
+    co_return attempt_end::unknown;
+}
+
+// Reads the answer whole, then passes it on.
+asio::awaitable<attempt_end> pass_whole(session& caller, request_state& r,
+                                        std::shared_ptr<exchange> e, in_flight_guard& guard) {
+    caller_answer answer;
+    body_status status = body_status::more;
+    while (status == body_status::more && answer.body.size() < whole_answer_bytes) {
+        const duration left = time_left(r, runtime::boot_now());
+        if (left <= duration::zero()) {
+            break;
+        }
+        status = co_await e->read(answer.body, left);
+    }
+    if (status != body_status::complete) {
+        r.last_failure = e->failure().empty() ? "answer too long or too late" : e->failure();
+        e->abort();
+        note(guard, attempt_outcome::failed);
+        co_return attempt_end::unknown;
+    }
+    answer.status = e->status();
+    answer.headers = headers_to_return(e->headers());
+    (void)co_await caller.respond(std::move(answer));
+    co_return attempt_end::finished;
+}
+
+// What the head of an answer means before its body is read; empty if it is to be passed on.
+std::optional<attempt_end> judge_head(core& c, request_state& r, const exchange& e,
+                                      const dispatch::choice& to, in_flight_guard& guard) {
+    const unsigned status = e.status();
+    if (e.facts().not_run) {
+        r.last_failure = "refused with " + std::to_string(status);
+        if (status == 421 && !r.facts.needs.model.empty()) {
+            // The model or adapter is not there any more, or another upstream is.
+            if (dispatch::upstream* u = guard.find()) {
+                const auto model = u->models.find(r.facts.needs.model);
+                if (model != u->models.end()) {
+                    model->second.adapters.erase(r.facts.needs.adapter);
+                }
+            }
+        }
+        note(guard, attempt_outcome::failed);
+        return attempt_end::not_run;
+    }
+    const bool success = status / 100 == 2;
+    const bool promise = status == 503 || status == 429 || status == 408 || status == 421;
+    if (e.facts().encoded || (success && !e.facts().signed_by_upstream) || promise ||
+        status / 100 == 1 || status / 100 == 3) {
+        r.last_failure = "unusable answer " + std::to_string(status);
+        note(guard, attempt_outcome::failed);
+        return attempt_end::unknown;
+    }
+    if (status >= server_error) {
+        r.last_failure = "answered " + std::to_string(status);
+        note(guard, attempt_outcome::failed);
+        const bool again = r.repeatable && r.tried.size() < r.route.max_sends && !r.head_sent &&
+                           dispatch::may_repeat(c.budgets[r.service], c.settings.budget,
+                                                c.view.gateways, runtime::boot_now());
+        if (again) {
+            return attempt_end::unknown;
+        }
+    }
+    if (r.head_sent && !success) {
+        // A stream that has begun cannot turn into another answer.
+        r.last_failure = "resumption answered " + std::to_string(status);
+        return attempt_end::unknown;
+    }
+    (void)to;
+    return std::nullopt;
+}
+
+}  // namespace
+
+duration time_left(const request_state& r, time_point now) {
+    return r.give_up - now;
+}
+
+asio::awaitable<attempt_end> attempt(core& c, session& caller, request_state& r,
+                                     dispatch::choice to) {
+    const std::string id = to.to->id;
+    const std::string address = to.to->address;
+    in_flight_guard guard(c, to, r);
+    r.last_failure.clear();
+    std::string failure;
+    connection_ptr connection = co_await connection_to(c, r, id, address, failure);
+    if (connection == nullptr) {
+        r.last_failure = "connect: " + failure;
+        note(guard, attempt_outcome::unreachable);
+        log_failed_attempt(r, id, "not_sent");
+        co_return attempt_end::not_run;
+    }
+    if (caller.caller_left()) {
+        co_return attempt_end::finished;
+    }
+    dispatch::note_send(c.budgets[r.service], c.settings.budget, !r.tried.empty(),
+                        runtime::boot_now());
+    r.tried.push_back(id);
+    if (dispatch::upstream* u = guard.find()) {
+        dispatch::note_kept(*u, r.facts.needs, r.kv_tokens);
+    }
+    outgoing_request out;
+    out.method = r.request.method;
+    out.target = r.request.target;
+    out.headers =
+        headers_to_send(c, r, id, r.events.last_id ? r.events.last_id : r.facts.last_event);
+    out.body = &r.request.body;
+    out.request_id = r.facts.id;
+    auto e = std::make_shared<exchange>(connection, c.protocol);
+    connection.reset();
+    r.current = e;
+    const time_point sent_at = runtime::boot_now();
+    const duration timeout = time_left(r, sent_at);
+    const send_status sent = co_await e->send(out, timeout);
+    if (sent != send_status::answered) {
+        r.last_failure = e->failure();
+        e->abort();
+        if (!caller.caller_left()) {
+            note(guard, attempt_outcome::silent);
+            log_failed_attempt(r, id, name_in(send_status_names, sent));
+        }
+        co_return attempt_end::unknown;
+    }
+    if (const auto judged = judge_head(c, r, *e, to, guard)) {
+        log_failed_attempt(r, id, std::to_string(e->status()));
+        // A short refusal leaves the connection usable.
+        std::string ignored;
+        const bool small = e->content_length().value_or(whole_answer_bytes) < 4096;
+        if (small && *judged == attempt_end::not_run) {
+            const duration brief = std::chrono::milliseconds(50);
+            while (co_await e->read(ignored, brief) == body_status::more) {
+            }
+        }
+        if (connection_ptr again = e->take_reusable(default_keep_alive)) {
+            keep(c.pools[id], again, runtime::boot_now());
+        } else {
+            e->abort();
+        }
+        co_return *judged;
+    }
+    attempt_end end = attempt_end::finished;
+    if (is_stream(*e)) {
+        end = co_await pass_stream(caller, r, e, guard, sent_at, to.expected_ms);
+    } else {
+        const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
+        if (e->status() < server_error) {
+            note(guard, attempt_outcome::served,
+                 to.expected_ms > 0 ? took_ms / (to.expected_ms + 50) : 0);
+        }
+        end = co_await pass_whole(caller, r, e, guard);
+    }
+    if (end != attempt_end::finished && !caller.caller_left()) {
+        log_failed_attempt(r, id, "broken");
+    }
+    if (connection_ptr again = e->take_reusable(default_keep_alive)) {
+        keep(c.pools[id], again, runtime::boot_now());
+    }
+    co_return end;
+}
+
+asio::awaitable<void> refuse(core& c, session& caller, request_state& r, unsigned status,
+                             std::string reason, duration come_back) {
+    c.metrics.count("burdockdeck_requests_refused_total", "status=" + std::to_string(status));
+    log_event(severity::info, event::request_refused,
+              {{"request", r.facts.id},
+               {"route", r.route.name},
+               {"status", static_cast<std::uint64_t>(status)},
+               {"reason", reason},
+               {"sends", static_cast<std::uint64_t>(r.tried.size())},
+               {"last_failure", r.last_failure},
+               {"version", c.view.current.version},
+               {"age_ms", to_milliseconds(runtime::boot_now() - r.request.arrived)},
+               {"come_back_ms", to_milliseconds(come_back)}});
+    if (r.head_sent) {
+        caller.cut();
+        co_return;
+    }
+    caller_answer answer;
+    answer.status = status;
+    answer.body = reason + "\n";
+    answer.headers.emplace_back("Content-Type", "text/plain");
+    if (come_back > duration::zero()) {
+        c.protocol.write_retry_after(answer.headers, come_back);
+    }
+    (void)co_await caller.respond(std::move(answer));
+}
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/connection_pool.cpp
@@ -0,0 +1,103 @@
+// Reuse of connections, and the options that tell a silent one.
+#include "connection_pool.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <cerrno>
+
+namespace burdockdeck::gateway {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t max_idle = 40;
+// Unacknowledged bytes make a connection to an upstream fail after this time.
+constexpr duration upstream_user_timeout = std::chrono::milliseconds(1500);
+constexpr int probe_idle_s = 1;
+constexpr int probe_interval_s = 1;
+constexpr int probe_count = 2;
+// An idle connection is given up this long before the upstream would close it.
+constexpr duration close_margin = std::chrono::milliseconds(400);
+
+template <class Value>
+void set_option(int fd, int level, int name, Value v) {
+    // A kernel without the option leaves only the slower time-outs of the requests.
+    (void)::setsockopt(fd, level, name, &v, sizeof v);
+}
+
+// True if the peer has neither closed it nor sent anything unasked.
+bool still_open(upstream_connection& c) {
+    char byte = 0;
+    const ssize_t got =
+        ::recv(c.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool expired(const upstream_connection& c, time_point now) {
+    return now - c.idle_since > c.keep_alive - std::min(close_margin, c.keep_alive / 2);
+}
+
+}  // namespace
+
+connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now) {
+    while (!pool.idle.empty()) {
+        connection_ptr c = pool.idle.back();
+        if (recent_only && now - c->idle_since > recent_use) {
+            return nullptr;
+        }
+        pool.idle.pop_back();
+        if (!expired(*c, now) && still_open(*c)) {
+            return c;
+        }
+    }
+    return nullptr;
+}
+
+void keep(connection_pool& pool, connection_ptr c, time_point now) {
+    c->idle_since = now;
+    c->stream.expires_never();
+    pool.idle.push_back(std::move(c));
+    if (pool.idle.size() > max_idle) {
+        pool.idle.erase(pool.idle.begin());
+    }
+}
+
+void close_expired(connection_pool& pool, time_point now) {
+    std::erase_if(pool.idle, [&](const connection_ptr& c) { return expired(*c, now); });
+}
+
+void set_liveness(tcp::socket& socket, duration user_timeout) {
+    const int fd = socket.native_handle();
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<unsigned>(to_milliseconds(user_timeout)));
+    set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, probe_idle_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, probe_interval_s);
+    set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, probe_count);
+}
+
+asio::awaitable<result<connection_ptr, connect_error>> connect(asio::io_context& context,
+                                                               settings::endpoint to,
+                                                               duration timeout) {
+    auto c = std::make_shared<upstream_connection>(context);
+    c->stream.expires_after(timeout);
+    const tcp::endpoint endpoint(asio::ip::make_address(to.ip), to.port);
+    const auto [failed] =
+        co_await c->stream.async_connect(endpoint, asio::as_tuple(asio::use_awaitable));
+    if (failed) {
+        co_return connect_error{failed.message()};
+    }
+    set_liveness(c->stream.socket(), upstream_user_timeout);
+    co_return c;
+}
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/connection_pool.h
@@ -0,0 +1,63 @@
+// Connections to one upstream, kept for reuse while its idle time allows. Belongs to the traffic
+// loop.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "settings/common.h"
+
+namespace burdockdeck::gateway {
+
+// Invariant: `buffer` holds nothing while the connection is idle.
+struct upstream_connection {
+    explicit upstream_connection(boost::asio::io_context& context) : stream(context) {}
+
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    std::uint32_t requests = 0;
+    time_point idle_since{};
+    // How long the upstream keeps it idle.
+    duration keep_alive{};
+};
+
+using connection_ptr = std::shared_ptr<upstream_connection>;
+
+struct connection_pool {
+    std::vector<connection_ptr> idle;
+};
+
+struct connect_error {
+    std::string message;
+};
+
+// --- Queries
+
+// The longest time a kept connection may have been idle to carry work that must not be repeated.
+inline constexpr duration recent_use = std::chrono::milliseconds(1200);
+
+// --- Commands
+
+// A kept connection that is still open; empty if there is none. With `recent_only` it was used just
+// before, so that the upstream is not about to close it.
+[[nodiscard]] connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now);
+// Keeps a connection on which a whole answer has been read.
+void keep(connection_pool& pool, connection_ptr c, time_point now);
+// Closes those whose idle time is over.
+void close_expired(connection_pool& pool, time_point now);
+
+boost::asio::awaitable<result<connection_ptr, connect_error>> connect(
+    boost::asio::io_context& context, settings::endpoint to, duration timeout);
+
+// Sets what makes a connection fail that has gone silent.
+void set_liveness(boost::asio::ip::tcp::socket& socket, duration user_timeout);
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/core.h
@@ -0,0 +1,65 @@
+// What the parts of one gateway share. Belongs to the traffic loop but for what says otherwise.
+#pragma once
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "connection_pool.h"
+#include "dispatch/budget.h"
+#include "gateway/protocol.h"
+#include "gateway/settings.h"
+#include "runtime/loop.h"
+#include "runtime/metrics.h"
+#include "runtime/rpc.h"
+#include "services.grpc.pb.h"
+#include "site_client.h"
+#include "site_view.h"
+
+namespace burdockdeck::gateway {
+
+class session;
+
+struct model_counts {
+    std::uint32_t arrivals = 0;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t output_tokens = 0;
+    std::uint32_t unplaced = 0;
+    std::uint32_t in_flight = 0;
+};
+
+struct core {
+    core(const gateway_settings& s, caller_protocol p, runtime::rpc_access a)
+        : settings(s), protocol(std::move(p)), access(std::move(a)) {}
+
+    gateway_settings settings;
+    caller_protocol protocol;
+    runtime::rpc_access access;
+    runtime::metrics metrics;
+    runtime::loop control{"control"};
+    runtime::loop traffic{"traffic"};
+    site_view view;
+    std::mt19937_64 rng{std::random_device{}()};
+    // By upstream id.
+    std::map<std::string, connection_pool> pools;
+    // By service.
+    std::map<std::string, dispatch::retry_budget> budgets;
+    // By service and model.
+    std::map<std::pair<std::string, std::string>, model_counts> demand;
+    // By address of a sidecar.
+    std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
+    // Timers of requests that wait for an upstream; cancelled whenever the view changes.
+    std::list<boost::asio::steady_timer*> waiting;
+    std::list<std::weak_ptr<session>> sessions;
+    std::uint32_t active_requests = 0;
+    time_point draining_since{};
+    // Read by the loop that answers for readiness.
+    std::atomic<bool> ready{false};
+    std::atomic<bool> draining{false};
+};
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/event_splitter.cpp
@@ -0,0 +1,64 @@
+// Events end with an empty line.
+#include "event_splitter.h"
+
+#include <charconv>
+
+namespace burdockdeck::gateway {
+
+namespace {
+
+constexpr std::string_view id_field = "id:";
+
+std::optional<std::uint64_t> id_of(std::string_view event) {
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event = end == std::string_view::npos ? "" : event.substr(end + 1);
+        if (line.substr(0, id_field.size()) != id_field) {
+            continue;
+        }
+        line.remove_prefix(id_field.size());
+        while (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        std::uint64_t id = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc{}) {
+            return id;
+        }
+    }
+    return std::nullopt;
+}
+
+// Length of the first whole event, its empty line included; 0 if none is whole.
+std::size_t first_event(std::string_view text) {
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t carriage = text.find("\r\n\r\n");
+    if (plain == std::string_view::npos && carriage == std::string_view::npos) {
+        return 0;
+    }
+    return carriage < plain ? carriage + 4 : plain + 2;
+}
+
+}  // namespace
+
+std::string take_events(event_splitter& s, std::string_view bytes) {
+    s.pending += bytes;
+    std::size_t whole = 0;
+    while (true) {
+        const std::string_view rest = std::string_view(s.pending).substr(whole);
+        const std::size_t length = first_event(rest);
+        if (length == 0) {
+            break;
+        }
+        if (const auto id = id_of(rest.substr(0, length))) {
+            s.last_id = id;
+        }
+        ++s.events;
+        whole += length;
+    }
+    std::string events = s.pending.substr(0, whole);
+    s.pending.erase(0, whole);
+    return events;
+}
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange.cpp
@@ -0,0 +1,204 @@
+// Writing of requests and reading of answers over Beast's parsers.
+#include "exchange.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace burdockdeck::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t max_answer_header_bytes = 64 * 1024;
+constexpr std::size_t read_chunk_bytes = 16 * 1024;
+// Answers to other requests that are passed over before the connection is given up.
+constexpr int max_foreign_answers = 2;
+constexpr std::array<std::string_view, 8> hop_headers{
+    "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+    "TE",         "Trailer",    "Transfer-Encoding",  "Upgrade"};
+
+std::string to_text(const outgoing_request& r) {
+    std::string out = r.method + " " + r.target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : r.headers) {
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
+    const bool bodiless = r.body->empty() && (r.method == "GET" || r.method == "HEAD" ||
+                                              r.method == "DELETE" || r.method == "OPTIONS");
+    if (!bodiless) {
+        out += "Content-Length: " + std::to_string(r.body->size()) + "\r\n";
+    }
+    out += "\r\n";
+    return out;
+}
+
+}  // namespace
+
+bool is_hop_header(std::string_view name, std::string_view connection) {
+    for (const std::string_view hop : hop_headers) {
+        if (same_name(hop, name)) {
+            return true;
+        }
+    }
+    while (!connection.empty()) {
+        const std::size_t comma = connection.find(',');
+        std::string_view token = connection.substr(0, comma);
+        while (!token.empty() && token.front() == ' ') {
+            token.remove_prefix(1);
+        }
+        while (!token.empty() && token.back() == ' ') {
+            token.remove_suffix(1);
+        }
+        if (same_name(token, name)) {
+            return true;
+        }
+        connection = comma == std::string_view::npos ? "" : connection.substr(comma + 1);
+    }
+    return false;
+}
+
+unsigned exchange::status() const {
+    return parser_->get().result_int();
+}
+
+const header_list& exchange::headers() const {
+    return headers_;
+}
+
+const answer_facts& exchange::facts() const {
+    return facts_;
+}
+
+const std::string& exchange::failure() const {
+    return failure_;
+}
+
+std::optional<std::uint64_t> exchange::content_length() const {
+    const auto length = parser_->content_length();
+    return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
+}
+
+void exchange::note_failure(std::string_view step, const boost::system::error_code& e) {
+    failure_ = std::string(step) + ": " + e.message();
+}
+
+asio::awaitable<bool> exchange::write(const outgoing_request& r, duration timeout) {
+    const std::string head = to_text(r);
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(*r.body)};
+    c_->stream.expires_after(timeout);
+    const auto [failed, sent] = co_await asio::async_write(c_->stream, parts, as_result);
+    if (failed) {
+        note_failure("write", failed);
+    }
+    co_return !failed;
+}
+
+asio::awaitable<bool> exchange::skip_body(duration timeout) {
+    std::string ignored;
+    while (true) {
+        const body_status s = co_await read(ignored, timeout);
+        if (s != body_status::more) {
+            co_return s == body_status::complete;
+        }
+        ignored.clear();
+    }
+}
+
+asio::awaitable<bool> exchange::read_head(const outgoing_request& r, duration timeout) {
+    int foreign = 0;
+    while (true) {
+        parser_ = std::make_unique<parser>();
+        parser_->body_limit(boost::none);
+        parser_->header_limit(max_answer_header_bytes);
+        parser_->skip(r.method == "HEAD");
+        c_->stream.expires_after(timeout);
+        const auto [failed, size] =
+            co_await http::async_read_header(c_->stream, c_->buffer, *parser_, as_result);
+        if (failed) {
+            note_failure("read head", failed);
+            co_return false;
+        }
+        if (status() / 100 == 1) {
+            continue;
+        }
+        headers_.clear();
+        for (const auto& f : parser_->get()) {
+            headers_.emplace_back(f.name_string(), f.value());
+        }
+        facts_ = protocol_.read_answer(status(), headers_);
+        if (facts_.echoed_id.empty() || facts_.echoed_id == r.request_id) {
+            co_return true;
+        }
+        const bool passed =
+            ++foreign <= max_foreign_answers && !parser_->need_eof() && co_await skip_body(timeout);
+        if (!passed) {
+            failure_ = "answer to another request";
+            co_return false;
+        }
+    }
+}
+
+asio::awaitable<send_status> exchange::send(const outgoing_request& r, duration timeout) {
+    ++c_->requests;
+    const bool written = co_await write(r, timeout);
+    if (aborted_) {
+        co_return send_status::no_answer;
+    }
+    // An upstream may answer and close before it has read the whole request.
+    const bool answered = co_await read_head(r, timeout);
+    if (!answered) {
+        co_return send_status::no_answer;
+    }
+    if (!written) {
+        // The rest of the request will not follow: nothing else may use the connection.
+        parser_->get().keep_alive(false);
+    }
+    co_return send_status::answered;
+}
+
+asio::awaitable<body_status> exchange::read(std::string& into, duration timeout) {
+    if (parser_->is_done()) {
+        co_return body_status::complete;
+    }
+    std::array<char, read_chunk_bytes> chunk{};
+    parser_->get().body().data = chunk.data();
+    parser_->get().body().size = chunk.size();
+    parser_->get().body().more = true;
+    c_->stream.expires_after(timeout);
+    const auto [failed, size] =
+        co_await http::async_read_some(c_->stream, c_->buffer, *parser_, as_result);
+    into.append(chunk.data(), chunk.size() - parser_->get().body().size);
+    if (failed && failed != http::error::need_buffer) {
+        note_failure("read body", failed);
+        co_return body_status::broken;
+    }
+    co_return parser_->is_done() ? body_status::complete : body_status::more;
+}
+
+void exchange::abort() {
+    aborted_ = true;
+    boost::system::error_code ignored;
+    c_->stream.socket().close(ignored);
+}
+
+connection_ptr exchange::take_reusable(duration default_keep_alive) {
+    const bool clean = !aborted_ && parser_ && parser_->is_done() && !parser_->need_eof() &&
+                       parser_->get().keep_alive() && c_->buffer.size() == 0;
+    if (!clean) {
+        return nullptr;
+    }
+    c_->keep_alive = facts_.keep_alive.value_or(default_keep_alive);
+    return std::move(c_);
+}
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/exchange.h
@@ -0,0 +1,88 @@
+// One request on one connection to an upstream, and its answer. Belongs to the traffic loop.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/name_table.h"
+#include "connection_pool.h"
+#include "gateway/protocol.h"
+
+namespace burdockdeck::gateway {
+
+// What is known of a request after it was handed to a connection.
+enum class send_status {
+    // No byte of it left this process.
+    not_sent,
+    // It left, and no whole head of an answer came back: it may have run.
+    no_answer,
+    answered,
+};
+
+inline constexpr name_table<send_status, 3> send_status_names{{
+    {send_status::not_sent, "not_sent"},
+    {send_status::no_answer, "no_answer"},
+    {send_status::answered, "answered"},
+}};
+
+enum class body_status { more, complete, broken };
+
+// The message that goes to the upstream.
+struct outgoing_request {
+    std::string method;
+    std::string target;
+    header_list headers;
+    const std::string* body = nullptr;
+    std::string request_id;
+};
+
+class exchange {
+public:
+    exchange(connection_ptr c, const caller_protocol& protocol)
+        : c_(std::move(c)), protocol_(protocol) {}
+
+    // Sends the request and reads the head of its own answer; answers to earlier requests that
+    // arrive late are passed over.
+    boost::asio::awaitable<send_status> send(const outgoing_request& r, duration timeout);
+
+    [[nodiscard]] unsigned status() const;
+    [[nodiscard]] const header_list& headers() const;
+    [[nodiscard]] const answer_facts& facts() const;
+    // Why the last step failed.
+    [[nodiscard]] const std::string& failure() const;
+    // True if the answer says how long it is.
+    [[nodiscard]] std::optional<std::uint64_t> content_length() const;
+
+    // Appends what arrives next to `into`.
+    boost::asio::awaitable<body_status> read(std::string& into, duration timeout);
+
+    // Ends the connection; reads in progress fail.
+    void abort();
+    // The connection, if another request may follow on it; null otherwise.
+    [[nodiscard]] connection_ptr take_reusable(duration default_keep_alive);
+
+private:
+    using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    boost::asio::awaitable<bool> write(const outgoing_request& r, duration timeout);
+    boost::asio::awaitable<bool> read_head(const outgoing_request& r, duration timeout);
+    boost::asio::awaitable<bool> skip_body(duration timeout);
+    void note_failure(std::string_view step, const boost::system::error_code& e);
+
+    connection_ptr c_;
+    const caller_protocol& protocol_;
+    std::unique_ptr<parser> parser_;
+    header_list headers_;
+    answer_facts facts_;
+    std::string failure_;
+    bool aborted_ = false;
+};
+
+// True for headers that concern one connection only; `connection` is the Connection header.
+[[nodiscard]] bool is_hop_header(std::string_view name, std::string_view connection);
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/server.cpp
@@ -0,0 +1,300 @@
+// Wiring of one gateway: listeners, the watch of control, reports, and the graceful stop.
+#include "gateway/server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "core.h"
+#include "runtime/clock.h"
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "session.h"
+
+namespace burdockdeck::gateway {
+
+namespace asio = boost::asio;
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr duration upkeep_interval = std::chrono::milliseconds(250);
+constexpr int upkeeps_per_report = 2;
+// The platform asks once a second and takes a gateway out after two misses.
+constexpr duration rotation_delay = std::chrono::milliseconds(2600);
+// Whatever is in hand is cut this long before the grace time is over.
+constexpr duration grace_margin = std::chrono::milliseconds(400);
+constexpr duration drain_check_interval = std::chrono::milliseconds(50);
+constexpr duration accept_pause = std::chrono::milliseconds(20);
+
+using acceptor_ptr = std::shared_ptr<tcp::acceptor>;
+
+result<acceptor_ptr, gateway_error> open_acceptor(asio::io_context& context,
+                                                  const settings::endpoint& at) {
+    const tcp::endpoint endpoint(asio::ip::make_address(at.ip), at.port);
+    auto acceptor = std::make_shared<tcp::acceptor>(context);
+    boost::system::error_code failed;
+    (void)acceptor->open(endpoint.protocol(), failed);
+    if (!failed) {
+        (void)acceptor->set_option(tcp::acceptor::reuse_address(true), failed);
+    }
+    if (!failed) {
+        (void)acceptor->bind(endpoint, failed);
+    }
+    if (!failed) {
+        (void)acceptor->listen(asio::socket_base::max_listen_connections, failed);
+    }
+    if (failed) {
+        return gateway_error{"listen on " + to_text(at) + ": " + failed.message()};
+    }
+    return acceptor;
+}
+
+asio::awaitable<void> accept_callers(core& c, acceptor_ptr acceptor) {
+    while (true) {
+        auto [failed, socket] =
+            co_await acceptor->async_accept(asio::as_tuple(asio::use_awaitable));
+        if (failed == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (failed) {
+            // Out of descriptors or the like: wait instead of spinning.
+            log_event(severity::warning, event::access_refused, {{"reason", failed.message()}});
+            co_await runtime::sleep_for(accept_pause);
+            continue;
+        }
+        auto s = std::make_shared<session>(c, std::move(socket));
+        c.sessions.push_back(s);
+        runtime::spawn(c.traffic, [s] { return s->run(); });
+    }
+}
+
+asio::awaitable<void> answer_platform(core& c, runtime::http_exchange& exchange) {
+    runtime::http_response response;
+    const runtime::http_request& request = exchange.request();
+    if (c.protocol.asks_readiness(request.method, request.target)) {
+        const bool ready = c.ready && !c.draining;
+        response.status = ready ? 200 : 503;
+        response.body = ready ? "{}" : R"({"error":"not ready"})";
+    } else if (request.path() == "/metrics") {
+        response.content_type = "text/plain; version=0.0.4";
+        c.metrics.set("process_resident_memory_bytes",
+                      static_cast<double>(runtime::resident_bytes()));
+        c.metrics.set("process_cpu_seconds", to_seconds(runtime::processor_time()));
+        response.body = c.metrics.to_text();
+    } else {
+        response.status = 404;
+    }
+    (void)co_await exchange.respond(std::move(response));
+}
+
+// An upstream that can no longer be used keeps no connections.
+void drop_pools(core& c) {
+    std::erase_if(c.pools, [&](const auto& item) {
+        const auto found = c.view.upstreams.find(item.first);
+        return found == c.view.upstreams.end() ||
+               (!found->second.accepting && found->second.in_flight == 0);
+    });
+}
+
+void log_upstream(const schema::upstream_announcement& a) {
+    log_event(severity::info, event::upstream_changed,
+              {{"upstream", a.id()},
+               {"address", a.address()},
+               {"born_ms", a.born_ms()},
+               {"sequence", a.sequence()},
+               {"state", a.state()},
+               {"models", a.models_size()}});
+}
+
+}  // namespace
+
+struct gateway_server::state {
+    state(const gateway_settings& s, caller_protocol p, runtime::rpc_access a)
+        : shared(s, std::move(p), std::move(a)) {}
+
+    core shared;
+    runtime::loop_pool platform_loops{"platform", 1};
+    std::unique_ptr<site_client> control;
+    acceptor_ptr acceptor;
+    std::unique_ptr<runtime::http_server> ready;
+    std::unique_ptr<runtime::http_server> metrics;
+    int upkeeps = 0;
+
+    void take_deployment(const schema::deployment_record& record) {
+        core& c = shared;
+        if (record.version() <= c.view.current.version) {
+            return;
+        }
+        auto decoded = c.protocol.decode_deployment(record.source());
+        if (!succeeded(decoded)) {
+            // Control accepts only what it can decode, so this program is older than control's.
+            log_event(severity::error, event::deployment_refused,
+                      {{"version", record.version()}, {"reason", error(decoded).message}});
+            return;
+        }
+        c.view.current = std::move(value(decoded));
+        log_event(severity::info, event::deployment_in_force,
+                  {{"version", record.version()},
+                   {"routes", static_cast<std::uint64_t>(c.view.current.routes.size())}});
+        if (!c.ready.exchange(true)) {
+            log_event(severity::info, event::ready_changed, {{"ready", "yes"}});
+        }
+    }
+
+    void take_update(const rpc::site_update& update) {
+        core& c = shared;
+        const time_point now = runtime::boot_now();
+        bool changed = update.has_deployment();
+        if (update.has_deployment()) {
+            take_deployment(update.deployment());
+        }
+        for (const schema::upstream_announcement& a : update.announcements()) {
+            if (take_announcement(c.view, a, now)) {
+                changed = true;
+                log_upstream(a);
+            }
+        }
+        c.view.gateways = std::max(1U, update.gateways());
+        if (changed) {
+            drop_pools(c);
+            const auto waiting = c.waiting;
+            for (asio::steady_timer* t : waiting) {
+                t->cancel();
+            }
+        }
+    }
+
+    rpc::demand_report take_report() {
+        rpc::demand_report report;
+        report.set_gateway(shared.settings.name);
+        report.set_window_ms(
+            static_cast<std::uint32_t>(to_milliseconds(upkeep_interval) * upkeeps_per_report));
+        for (auto& [key, counts] : shared.demand) {
+            if (key.second.empty() || (counts.arrivals == 0 && counts.in_flight == 0)) {
+                continue;
+            }
+            rpc::model_load& load = *report.add_models();
+            load.set_service(key.first);
+            load.set_model(key.second);
+            load.set_arrivals(counts.arrivals);
+            load.set_prompt_tokens(counts.prompt_tokens);
+            load.set_output_tokens(counts.output_tokens);
+            load.set_unplaced(counts.unplaced);
+            load.set_in_flight(counts.in_flight);
+            const std::uint32_t in_flight = counts.in_flight;
+            counts = {};
+            counts.in_flight = in_flight;
+        }
+        return report;
+    }
+
+    asio::awaitable<void> keep_up() {
+        core& c = shared;
+        while (true) {
+            co_await runtime::sleep_for(upkeep_interval);
+            const time_point now = runtime::boot_now();
+            for (auto& [id, pool] : c.pools) {
+                close_expired(pool, now);
+            }
+            c.sessions.remove_if([](const std::weak_ptr<session>& s) { return s.expired(); });
+            if (++upkeeps % upkeeps_per_report == 0) {
+                c.control.post([this, report = take_report()] { control->report(report); });
+            }
+        }
+    }
+
+    // Ends once nothing is in hand and the platform has taken this gateway out, or time is short.
+    asio::awaitable<void> drain(std::function<void()> finished) {
+        core& c = shared;
+        const time_point began = runtime::boot_now();
+        const time_point latest = began + c.settings.grace - grace_margin;
+        while (runtime::boot_now() < latest) {
+            co_await runtime::sleep_for(drain_check_interval);
+            if (runtime::boot_now() - began < rotation_delay || c.active_requests > 0) {
+                continue;
+            }
+            break;
+        }
+        log_event(severity::info, event::draining,
+                  {{"step", "closing"}, {"in_hand", c.active_requests}});
+        boost::system::error_code ignored;
+        (void)acceptor->close(ignored);
+        const auto sessions = c.sessions;
+        for (const std::weak_ptr<session>& weak : sessions) {
+            if (const auto s = weak.lock()) {
+                s->close_if_idle();
+            }
+        }
+        finished();
+    }
+};
+
+gateway_server::gateway_server(std::unique_ptr<state> s) : state_(std::move(s)) {}
+
+gateway_server::~gateway_server() {
+    state_->platform_loops.stop();
+    state_->shared.control.stop();
+    state_->shared.traffic.stop();
+}
+
+result<std::unique_ptr<gateway_server>, gateway_error> gateway_server::create(
+    const gateway_settings& settings, caller_protocol protocol) {
+    auto access = runtime::rpc_access::create(settings.access);
+    if (!succeeded(access)) {
+        return gateway_error{to_text(error(access))};
+    }
+    auto s = std::make_unique<state>(settings, std::move(protocol), value(access));
+    core& c = s->shared;
+    auto acceptor = open_acceptor(c.traffic.context(), settings.listen);
+    if (!succeeded(acceptor)) {
+        return error(acceptor);
+    }
+    s->acceptor = value(acceptor);
+    const auto answer = [&c](runtime::http_exchange& e) { return answer_platform(c, e); };
+    auto ready = runtime::http_server::listen(settings.ready_listen, s->platform_loops, {}, answer);
+    if (!succeeded(ready)) {
+        return gateway_error{error(ready).message};
+    }
+    s->ready = std::move(value(ready));
+    if (settings.metrics_listen.port != 0) {
+        auto metrics =
+            runtime::http_server::listen(settings.metrics_listen, s->platform_loops, {}, answer);
+        if (!succeeded(metrics)) {
+            return gateway_error{error(metrics).message};
+        }
+        s->metrics = std::move(value(metrics));
+    }
+    state* shared = s.get();
+    s->control = std::make_unique<site_client>(
+        c.control, settings, value(access), [shared](rpc::site_update update) {
+            shared->shared.traffic.post(
+                [shared, update = std::move(update)] { shared->take_update(update); });
+        });
+    c.control.post([shared] { shared->control->start(); });
+    runtime::spawn(c.traffic, [shared] { return shared->keep_up(); });
+    runtime::spawn(c.traffic,
+                   [shared] { return accept_callers(shared->shared, shared->acceptor); });
+    log_event(severity::info, event::started,
+              {{"name", settings.name}, {"listen", to_text(settings.listen)}});
+    return std::unique_ptr<gateway_server>(new gateway_server(std::move(s)));
+}
+
+void gateway_server::stop(std::function<void()> finished) {
+    core& c = state_->shared;
+    c.draining = true;
+    log_event(severity::info, event::draining, {{"step", "not ready"}});
+    runtime::spawn(c.traffic, [s = state_.get(), finished = std::move(finished)] {
+        return s->drain(finished);
+    });
+}
+
+void gateway_server::reload(const gateway_settings& settings) {
+    state_->shared.control.post(
+        [s = state_.get(), seeds = settings.seeds] { s->control->set_seeds(seeds); });
+}
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/session.cpp
@@ -0,0 +1,291 @@
+// Strict reading of callers' requests, and answers with one framing.
+#include "session.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cerrno>
+
+#include "exchange.h"
+#include "request.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+
+namespace burdockdeck::gateway {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+// A body may take this long; callers' own limits on bodies come with the deployment.
+constexpr duration body_timeout = std::chrono::seconds(20);
+// A caller that acknowledges nothing for this long is gone.
+constexpr duration caller_user_timeout = std::chrono::seconds(5);
+constexpr duration write_timeout = std::chrono::seconds(10);
+// An idle connection is kept a little longer than callers are told.
+constexpr duration idle_margin = std::chrono::milliseconds(500);
+constexpr std::size_t read_ahead_bytes = 8 * 1024;
+
+using request_parser = http::request_parser<http::string_body>;
+
+bool one_framing(const request_parser& p) {
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    bool chunked = true;
+    for (const auto& f : p.get()) {
+        lengths += f.name() == http::field::content_length ? 1 : 0;
+        if (f.name() == http::field::transfer_encoding) {
+            ++encodings;
+            chunked = chunked && same_name({f.value().data(), f.value().size()}, "chunked");
+        }
+    }
+    return lengths + encodings <= 1 && chunked;
+}
+
+bool has_one_host(const request_parser& p) {
+    return p.get().count(http::field::host) == 1;
+}
+
+}  // namespace
+
+std::string_view caller_request::path() const {
+    return std::string_view(target).substr(0, target.find('?'));
+}
+
+session::session(core& c, tcp::socket socket) : core_(c), stream_(std::move(socket)) {
+    set_liveness(stream_.socket(), caller_user_timeout);
+}
+
+bool session::caller_left() const {
+    return left_ || cut_;
+}
+
+void session::on_caller_left(std::function<void()> left) {
+    on_left_ = std::move(left);
+    if (caller_left() && on_left_) {
+        on_left_();
+    }
+}
+
+void session::close_if_idle() {
+    if (!busy_) {
+        cut();
+    }
+}
+
+void session::cut() {
+    cut_ = true;
+    boost::system::error_code ignored;
+    stream_.socket().close(ignored);
+}
+
+// The caller's side becomes readable when it closes, or when it sends its next request early.
+void session::watch_caller() {
+    const std::uint64_t serial = ++watch_serial_;
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), serial](const boost::system::error_code& failed) {
+            if (serial != self->watch_serial_ || failed == asio::error::operation_aborted) {
+                return;
+            }
+            char byte = 0;
+            const ssize_t got =
+                ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            const bool alive = got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
+            if (!alive) {
+                self->left_ = true;
+                if (self->on_left_) {
+                    self->on_left_();
+                }
+            }
+        });
+}
+
+asio::awaitable<bool> session::wait_for_bytes() {
+    if (buffer_.size() > 0) {
+        co_return true;
+    }
+    stream_.expires_after(core_.view.current.limits.idle_timeout + idle_margin);
+    const auto [failed, got] =
+        co_await stream_.async_read_some(buffer_.prepare(read_ahead_bytes), as_result);
+    buffer_.commit(got);
+    co_return !failed && got > 0;
+}
+
+asio::awaitable<void> session::refuse(unsigned status, std::string_view reason) {
+    core_.metrics.count("burdockdeck_caller_errors_total", "status=" + std::to_string(status));
+    runtime::log_event(runtime::severity::info, runtime::event::request_refused,
+                       {{"status", static_cast<std::uint64_t>(status)}, {"reason", reason}});
+    keep_ = false;
+    caller_answer answer;
+    answer.status = status;
+    answer.body = std::string(reason) + "\n";
+    (void)co_await respond(std::move(answer));
+}
+
+asio::awaitable<session::read_outcome> session::read_request(caller_request& r) {
+    if (!co_await wait_for_bytes()) {
+        co_return read_outcome::ended;
+    }
+    busy_ = true;
+    r.arrived = runtime::boot_now();
+    const deployment::caller_limits limits = core_.view.current.limits;
+    request_parser parser;
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
+    stream_.expires_after(limits.header_timeout);
+    const auto [head_failed, head_size] =
+        co_await http::async_read_header(stream_, buffer_, parser, as_result);
+    if (head_failed == beast::error::timeout) {
+        co_await refuse(408, "the request's header took too long");
+        co_return read_outcome::ended;
+    }
+    if (head_failed) {
+        const bool parse_error =
+            head_failed.category() == http::make_error_code(http::error::bad_method).category();
+        if (head_failed == http::error::header_limit) {
+            co_await refuse(431, "the request's header is too large");
+        } else if (parse_error && head_failed != http::error::end_of_stream &&
+                   head_failed != http::error::partial_message) {
+            co_await refuse(head_failed == http::error::body_limit ? 413 : 400,
+                            "not an HTTP/1.1 request");
+        }
+        co_return read_outcome::ended;
+    }
+    if (!one_framing(parser) || !has_one_host(parser)) {
+        co_await refuse(400, "ambiguous length or host");
+        co_return read_outcome::ended;
+    }
+    keep_ = parser.get().keep_alive();
+    if (same_name(std::string_view(parser.get()[http::field::expect]), "100-continue")) {
+        constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        (void)co_await write(go_on);
+    }
+    stream_.expires_after(body_timeout);
+    const auto [body_failed, body_size] =
+        co_await http::async_read(stream_, buffer_, parser, as_result);
+    if (body_failed) {
+        if (body_failed == http::error::body_limit) {
+            co_await refuse(413, "the request's body is too large");
+        } else if (body_failed == beast::error::timeout) {
+            co_await refuse(408, "the request's body took too long");
+        }
+        co_return read_outcome::ended;
+    }
+    stream_.expires_never();
+    auto message = parser.release();
+    r.method = std::string(message.method_string());
+    r.target = std::string(message.target());
+    for (const auto& f : message) {
+        r.headers.emplace_back(f.name_string(), f.value());
+    }
+    r.body = std::move(message.body());
+    co_return read_outcome::request;
+}
+
+asio::awaitable<void> session::run() {
+    const std::shared_ptr<session> self = shared_from_this();
+    while (keep_ && !cut_) {
+        busy_ = false;
+        caller_request r;
+        if (co_await read_request(r) == read_outcome::ended) {
+            break;
+        }
+        answered_ = false;
+        watch_caller();
+        ++core_.active_requests;
+        co_await serve(core_, *this, std::move(r));
+        --core_.active_requests;
+        on_left_ = nullptr;
+        ++watch_serial_;
+        boost::system::error_code ignored;
+        stream_.socket().cancel(ignored);
+        if (!answered_ || left_) {
+            break;
+        }
+    }
+    boost::system::error_code ignored;
+    if (!cut_ && answered_) {
+        // Lets the answer arrive before the connection ends: what the caller sent meanwhile is
+        // read, since unread bytes would reset it.
+        stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        stream_.expires_after(std::chrono::milliseconds(500));
+        std::array<char, 1024> rest{};
+        for (int i = 0; i < 64; ++i) {
+            const auto [failed, got] =
+                co_await stream_.async_read_some(asio::buffer(rest), as_result);
+            if (failed) {
+                break;
+            }
+        }
+    }
+    stream_.socket().close(ignored);
+}
+
+std::string session::head_text(unsigned status, const header_list& headers,
+                               std::optional<std::size_t> length) const {
+    std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
+    out += std::string(http::obsolete_reason(static_cast<http::status>(status)));
+    out += "\r\n";
+    for (const auto& [name, value] : headers) {
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
+    out += length ? "Content-Length: " + std::to_string(*length) + "\r\n"
+                  : std::string("Transfer-Encoding: chunked\r\n");
+    if (!keep_) {
+        out += "Connection: close\r\n";
+    }
+    return out + "\r\n";
+}
+
+asio::awaitable<bool> session::respond(caller_answer answer) {
+    if (core_.draining) {
+        keep_ = false;
+    }
+    const std::string head = head_text(answer.status, answer.headers, answer.body.size());
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(head), asio::buffer(answer.body)};
+    stream_.expires_after(write_timeout);
+    const auto [failed, sent] = co_await asio::async_write(stream_, parts, as_result);
+    answered_ = !failed;
+    co_return !failed;
+}
+
+asio::awaitable<bool> session::begin(unsigned status, const header_list& headers) {
+    if (core_.draining) {
+        keep_ = false;
+    }
+    const std::string head = head_text(status, headers, std::nullopt);
+    stream_.expires_after(write_timeout);
+    const auto [failed, sent] = co_await asio::async_write(stream_, asio::buffer(head), as_result);
+    co_return !failed;
+}
+
+asio::awaitable<bool> session::write(std::string_view bytes) {
+    stream_.expires_after(write_timeout);
+    const auto [failed, sent] =
+        co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()), as_result);
+    co_return !failed;
+}
+
+asio::awaitable<bool> session::finish() {
+    constexpr std::string_view last_chunk = "0\r\n\r\n";
+    answered_ = co_await write(last_chunk);
+    co_return answered_;
+}
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/session.h
@@ -0,0 +1,76 @@
+// One caller's connection: reads requests one after the other and writes their answers. Belongs to
+// the traffic loop.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core.h"
+
+namespace burdockdeck::gateway {
+
+struct caller_request {
+    std::string method;
+    std::string target;
+    header_list headers;
+    std::string body;
+    // When its first byte was read.
+    time_point arrived{};
+
+    [[nodiscard]] std::string_view path() const;
+};
+
+struct caller_answer {
+    unsigned status = 200;
+    header_list headers;
+    std::string body;
+};
+
+class session : public std::enable_shared_from_this<session> {
+public:
+    session(core& c, boost::asio::ip::tcp::socket socket);
+
+    boost::asio::awaitable<void> run();
+    // Closes the connection if no request is in hand on it.
+    void close_if_idle();
+    // Closes the connection whatever is in hand.
+    void cut();
+
+    // --- For the request in hand
+
+    [[nodiscard]] bool caller_left() const;
+    // Called once if the caller closes its connection; replaced by the next call.
+    void on_caller_left(std::function<void()> left);
+    boost::asio::awaitable<bool> respond(caller_answer answer);
+    // The head of an answer whose body follows in pieces.
+    boost::asio::awaitable<bool> begin(unsigned status, const header_list& headers);
+    boost::asio::awaitable<bool> write(std::string_view bytes);
+    boost::asio::awaitable<bool> finish();
+
+private:
+    enum class read_outcome { request, ended };
+
+    boost::asio::awaitable<read_outcome> read_request(caller_request& r);
+    boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason);
+    boost::asio::awaitable<bool> wait_for_bytes();
+    void watch_caller();
+    [[nodiscard]] std::string head_text(unsigned status, const header_list& headers,
+                                        std::optional<std::size_t> length) const;
+
+    core& core_;
+    boost::beast::tcp_stream stream_;
+    boost::beast::flat_buffer buffer_;
+    std::function<void()> on_left_;
+    bool busy_ = false;
+    bool left_ = false;
+    bool keep_ = true;
+    bool answered_ = false;
+    bool cut_ = false;
+    std::uint64_t watch_serial_ = 0;
+};
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/site_client.h
@@ -0,0 +1,41 @@
+// Watches every control instance, so that the loss of any of them hides nothing. Belongs to the
+// gateway's control loop.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/settings.h"
+#include "runtime/loop.h"
+#include "runtime/rpc.h"
+#include "services.grpc.pb.h"
+
+namespace burdockdeck::gateway {
+
+class site_client {
+public:
+    // Called on the control loop with each update of an instance that hears its leader, and with
+    // each update of others once one was told of.
+    using update_callback = std::function<void(rpc::site_update)>;
+
+    site_client(runtime::loop& on, const gateway_settings& settings, runtime::rpc_access access,
+                update_callback taken);
+    ~site_client();
+
+    void start();
+    void stop();
+    // Seeds from a reloaded settings file.
+    void set_seeds(const std::vector<settings::endpoint>& seeds);
+    // The version in force here, so that control sends only newer ones.
+    void set_known_version(std::uint64_t version);
+    // Sends what was asked for to every instance that says it leads.
+    void report(const rpc::demand_report& report);
+
+private:
+    struct state;
+    std::shared_ptr<state> state_;
+};
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/site_view.cpp
@@ -0,0 +1,61 @@
+// Merging of announcements into beliefs.
+#include "site_view.h"
+
+namespace burdockdeck::gateway {
+
+namespace {
+
+void take_models(dispatch::upstream& u, const schema::upstream_announcement& a) {
+    std::map<std::string, dispatch::held_model, std::less<>> models;
+    for (const schema::present_model& m : a.models()) {
+        dispatch::held_model& held = models[m.name()];
+        held.version = m.version();
+        const auto before = u.models.find(m.name());
+        if (before != u.models.end() && before->second.version == m.version()) {
+            held.adapters = before->second.adapters;
+        }
+    }
+    u.models = std::move(models);
+}
+
+}  // namespace
+
+std::vector<dispatch::upstream*> upstreams_of(site_view& v, std::string_view service) {
+    std::vector<dispatch::upstream*> out;
+    for (auto& [id, u] : v.upstreams) {
+        if (u.service == service) {
+            out.push_back(&u);
+        }
+    }
+    return out;
+}
+
+bool take_announcement(site_view& v, const schema::upstream_announcement& a, time_point now) {
+    const std::pair order{a.born_ms(), a.sequence()};
+    const auto known = v.orders.find(a.id());
+    const bool leaves = a.state() != schema::announced_ready;
+    if (known != v.orders.end() && (order < known->second || (order == known->second && !leaves))) {
+        return false;
+    }
+    v.orders[a.id()] = order;
+    dispatch::upstream& u = v.upstreams[a.id()];
+    if (u.born_ms != a.born_ms() || u.address != a.address()) {
+        const std::uint32_t in_flight = u.in_flight;
+        u = {};
+        u.in_flight = in_flight;
+        u.id = a.id();
+        u.born_ms = a.born_ms();
+        u.address = a.address();
+    }
+    u.service = a.service();
+    u.failure_domain = a.failure_domain();
+    u.slots = a.slots();
+    u.accepting = !leaves;
+    u.cold_until = a.cold_ms() > 0 ? now + std::chrono::milliseconds(a.cold_ms()) : time_point{};
+    u.leaves_at =
+        a.leaves_ms() > 0 ? now + std::chrono::milliseconds(a.leaves_ms()) : time_point::max();
+    take_models(u, a);
+    return true;
+}
+
+}  // namespace burdockdeck::gateway
--- /dev/null
+++ b/libs/gateway/src/site_view.h
@@ -0,0 +1,33 @@
+// What a gateway routes by: the deployment in force and the upstreams. Belongs to the traffic loop.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "deployment/deployment.h"
+#include "dispatch/upstream.h"
+#include "site.pb.h"
+
+namespace burdockdeck::gateway {
+
+struct site_view {
+    // Version 0 until control has told the first deployment.
+    deployment::site current;
+    std::map<std::string, dispatch::upstream> upstreams;
+    // The newest announcement taken of each upstream.
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> orders;
+    // Gateways that share the fleet's budgets.
+    std::uint32_t gateways = 1;
+};
+
+// --- Queries
+
+[[nodiscard]] std::vector<dispatch::upstream*> upstreams_of(site_view& v, std::string_view service);
+
+// --- Commands
+
+// Takes over an announcement unless a newer one is known. True if anything changed.
+bool take_announcement(site_view& v, const schema::upstream_announcement& a, time_point now);
+
+}  // namespace burdockdeck::gateway
--- a/libs/program/include/program/program.h
+++ b/libs/program/include/program/program.h
@@ -52,8 +52,26 @@
         std::cerr << error(server).message << "\n";
         return status(exit_status::failed);
     }
-    runtime::run_until_signal(
-        [&](std::function<void()> finished) { value(server)->stop(std::move(finished)); });
+    runtime::signal_actions actions;
+    actions.stop = [&](std::function<void()> finished) {
+        value(server)->stop(std::move(finished));
+    };
+    actions.watched_file = asked.settings_file;
+    actions.reload = [&] {
+        const auto again = load(asked.settings_file);
+        if (!succeeded(again)) {
+            // The settings in force stay.
+            runtime::log_event(runtime::severity::error, runtime::event::settings_refused,
+                               {{"reason", settings::to_text(error(again))}});
+            return;
+        }
+        runtime::log_event(runtime::severity::info, runtime::event::settings_reloaded,
+                           {{"file", asked.settings_file}});
+        if constexpr (requires { value(server)->reload(value(again)); }) {
+            value(server)->reload(value(again));
+        }
+    };
+    runtime::run_until_signal(actions);
     return status(exit_status::done);
 }
 
--- /dev/null
+++ b/libs/registry/src/registry.cpp
@@ -0,0 +1,106 @@
+// Merging of announcements that arrive late, twice or out of order.
+#include "registry/registry.h"
+
+#include <tuple>
+
+namespace burdockdeck::registry {
+
+namespace {
+
+using schema::upstream_announcement;
+
+std::tuple<std::uint64_t, std::uint64_t> order_of(const upstream_announcement& a) {
+    return {a.born_ms(), a.sequence()};
+}
+
+// Equal but for what every announcement changes.
+bool same_content(upstream_announcement a, const upstream_announcement& b) {
+    a.set_sequence(b.sequence());
+    a.set_cold_ms(b.cold_ms());
+    a.set_leaves_ms(b.leaves_ms());
+    return a.SerializeAsString() == b.SerializeAsString();
+}
+
+void mark_changed(registry& r, upstream_entry& e) {
+    e.changed_at = ++r.changes;
+}
+
+// An address belongs to its newest incarnation only.
+void end_older_at(registry& r, const upstream_announcement& fresh) {
+    for (auto& [id, e] : r.upstreams) {
+        const bool older = e.latest.address() == fresh.address() && id != fresh.id() &&
+                           e.latest.born_ms() < fresh.born_ms();
+        if (older && e.latest.state() != schema::announced_gone) {
+            e.latest.set_state(schema::announced_gone);
+            mark_changed(r, e);
+        }
+    }
+}
+
+bool address_has_newer(const registry& r, const upstream_announcement& a) {
+    for (const auto& [id, e] : r.upstreams) {
+        if (id != a.id() && e.latest.address() == a.address() && e.latest.born_ms() > a.born_ms()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+}  // namespace
+
+std::vector<upstream_announcement> changed_since(const registry& r, std::uint64_t known) {
+    std::vector<upstream_announcement> out;
+    for (const auto& [id, e] : r.upstreams) {
+        if (e.changed_at > known) {
+            out.push_back(e.latest);
+        }
+    }
+    return out;
+}
+
+merge_result merge(registry& r, const upstream_announcement& a, time_point now) {
+    const auto found = r.upstreams.find(a.id());
+    if (found != r.upstreams.end()) {
+        const upstream_announcement& known = found->second.latest;
+        // A departure may come under the number of the last announcement.
+        const bool departs = order_of(a) == order_of(known) &&
+                             a.state() == schema::announced_gone && known.state() != a.state();
+        if (order_of(a) <= order_of(known) && !departs) {
+            return merge_result::outdated;
+        }
+        // One that said it leaves does not come back in the same incarnation.
+        if (known.born_ms() == a.born_ms() && a.state() < known.state()) {
+            return merge_result::outdated;
+        }
+    }
+    if (a.state() != schema::announced_gone && address_has_newer(r, a)) {
+        return merge_result::outdated;
+    }
+    upstream_entry& e = r.upstreams[a.id()];
+    const bool changed = e.changed_at == 0 || !same_content(a, e.latest);
+    e.latest = a;
+    e.heard = now;
+    if (!changed) {
+        return merge_result::refreshed;
+    }
+    mark_changed(r, e);
+    end_older_at(r, a);
+    return merge_result::changed;
+}
+
+std::vector<std::string> expire(registry& r, time_point now, duration gone_kept,
+                                duration silence_kept) {
+    std::vector<std::string> dropped;
+    std::erase_if(r.upstreams, [&](const auto& item) {
+        const upstream_entry& e = item.second;
+        const bool gone = e.latest.state() == schema::announced_gone;
+        const bool drop = now - e.heard > (gone ? gone_kept : silence_kept);
+        if (drop) {
+            dropped.push_back(item.first);
+        }
+        return drop;
+    });
+    return dropped;
+}
+
+}  // namespace burdockdeck::registry
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -49,9 +49,33 @@
     claim_failed,
     access_refused,
     share_changed,
+    storage_recovered,
+    join_asked,
+    member_swapped,
+    deployment_in_force,
+    deployment_refused,
+    upstream_changed,
+    upstream_dropped,
+    relay_lost,
+    relay_regained,
+    watch_refused,
+    settings_reloaded,
+    draining,
+    attempt_failed,
+    order_planned,
+    order_failed,
+    adapter_loaded,
+    adapter_refused,
+    control_lost,
+    control_regained,
+    upstream_ejected,
+    ready_changed,
+    lines_dropped,
+    read_refused,
+    announcement_refused,
 };
 
-inline constexpr name_table<event, 37> event_names{{
+inline constexpr name_table<event, 61> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -89,6 +113,30 @@
     {event::claim_failed, "claim_failed"},
     {event::access_refused, "access_refused"},
     {event::share_changed, "share_changed"},
+    {event::storage_recovered, "storage_recovered"},
+    {event::join_asked, "join_asked"},
+    {event::member_swapped, "member_swapped"},
+    {event::deployment_in_force, "deployment_in_force"},
+    {event::deployment_refused, "deployment_refused"},
+    {event::upstream_changed, "upstream_changed"},
+    {event::upstream_dropped, "upstream_dropped"},
+    {event::relay_lost, "relay_lost"},
+    {event::relay_regained, "relay_regained"},
+    {event::watch_refused, "watch_refused"},
+    {event::settings_reloaded, "settings_reloaded"},
+    {event::draining, "draining"},
+    {event::attempt_failed, "attempt_failed"},
+    {event::order_planned, "order_planned"},
+    {event::order_failed, "order_failed"},
+    {event::adapter_loaded, "adapter_loaded"},
+    {event::adapter_refused, "adapter_refused"},
+    {event::control_lost, "control_lost"},
+    {event::control_regained, "control_regained"},
+    {event::upstream_ejected, "upstream_ejected"},
+    {event::ready_changed, "ready_changed"},
+    {event::lines_dropped, "lines_dropped"},
+    {event::read_refused, "read_refused"},
+    {event::announcement_refused, "announcement_refused"},
 }};
 
 // One key=value pair. Values with spaces, quotes or equals signs are quoted in the line.
@@ -101,6 +149,7 @@
     field(std::string_view k, const char* v) : key(k), value(v) {}
     field(std::string_view k, std::uint64_t v) : key(k), value(std::to_string(v)) {}
     field(std::string_view k, std::int64_t v) : key(k), value(std::to_string(v)) {}
+    field(std::string_view k, double v) : key(k), value(std::to_string(v)) {}
     field(std::string_view k, int v) : key(k), value(std::to_string(v)) {}
     field(std::string_view k, std::uint32_t v) : key(k), value(std::to_string(v)) {}
 };
--- a/libs/runtime/include/runtime/loop.h
+++ b/libs/runtime/include/runtime/loop.h
@@ -46,8 +46,16 @@
     std::shared_ptr<std::size_t> turn_;
 };
 
-// Blocks until SIGTERM or SIGINT, calls `stop` once, and exits at once on a second signal. Returns
-// when `stop` calls the function given to it.
-void run_until_signal(std::function<void(std::function<void()> finished)> stop);
+// What a program does on signals.
+struct signal_actions {
+    // On the first SIGTERM or SIGINT; later ones change nothing. Calls `finished` when it is done.
+    std::function<void(std::function<void()> finished)> stop;
+    // On SIGHUP, and when the file at `watched_file` changed without a signal. May be empty.
+    std::function<void()> reload;
+    std::string watched_file;
+};
+
+// Blocks until a signal to stop was carried out.
+void run_until_signal(const signal_actions& actions);
 
 }  // namespace burdockdeck::runtime
--- a/libs/runtime/src/loop.cpp
+++ b/libs/runtime/src/loop.cpp
@@ -9,9 +9,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
+#include "base/checksum.h"
+#include "base/time.h"
 #include "runtime/log.h"
 
 namespace burdockdeck::runtime {
@@ -72,20 +77,85 @@
     }
 }
 
-void run_until_signal(std::function<void(std::function<void()> finished)> stop) {
+namespace {
+
+constexpr duration file_check_interval = std::chrono::milliseconds(500);
+
+// Changes with the content of a file; 0 if it cannot be read.
+std::uint64_t fingerprint_of(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    return in ? checksum_of(text) : 0;
+}
+
+// Reloads when the file's content changes; one change is one reload, with or without a signal.
+class reloader {
+public:
+    reloader(asio::io_context& context, const signal_actions& actions)
+        : actions_(actions), timer_(context), known_(fingerprint_of(actions.watched_file)) {}
+
+    void check() {
+        const std::uint64_t now = fingerprint_of(actions_.watched_file);
+        if (now == known_ || now == 0 || !actions_.reload) {
+            return;
+        }
+        known_ = now;
+        actions_.reload();
+    }
+
+    void watch() {
+        timer_.expires_after(file_check_interval);
+        timer_.async_wait([this](const boost::system::error_code& failed) {
+            if (!failed) {
+                check();
+                watch();
+            }
+        });
+    }
+
+private:
+    const signal_actions& actions_;
+    asio::steady_timer timer_;
+    std::uint64_t known_;
+};
+
+}  // namespace
+
+void run_until_signal(const signal_actions& actions) {
     asio::io_context context(1);
-    asio::signal_set signals(context, SIGTERM, SIGINT);
+    asio::signal_set stops(context, SIGTERM, SIGINT);
+    asio::signal_set reloads(context, SIGHUP);
     auto guard = asio::make_work_guard(context);
+    reloader settings(context, actions);
+    bool stopping = false;
     const auto finished = [&context] { context.stop(); };
-    signals.async_wait([&](const boost::system::error_code&, int number) {
-        log_event(severity::info, event::stopping, {{"signal", number}});
-        signals.async_wait([](const boost::system::error_code& failed, int) {
+    std::function<void()> await_stop = [&] {
+        stops.async_wait([&](const boost::system::error_code& failed, int number) {
+            if (failed) {
+                return;
+            }
+            await_stop();
+            // Signals come in series: only the first begins the stop.
+            if (!stopping) {
+                stopping = true;
+                log_event(severity::info, event::stopping, {{"signal", number}});
+                actions.stop(finished);
+            }
+        });
+    };
+    std::function<void()> await_reload = [&] {
+        reloads.async_wait([&](const boost::system::error_code& failed, int) {
             if (!failed) {
-                ::_exit(130);
+                await_reload();
+                settings.check();
             }
         });
-        stop(finished);
-    });
+    };
+    await_stop();
+    await_reload();
+    if (!actions.watched_file.empty()) {
+        settings.watch();
+    }
     context.run();
     log_event(severity::info, event::stopped, {});
 }
--- /dev/null
+++ b/libs/sidecar/include/sidecar/engine_protocol.h
@@ -0,0 +1,69 @@
+// The seam towards the engine beside a sidecar. A protocol decodes and encodes; it decides nothing.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+
+namespace burdockdeck::sidecar {
+
+// What an engine says of itself at one moment.
+struct engine_report {
+    std::uint64_t born_ms = 0;
+    // Adapters by model.
+    std::map<std::string, std::set<std::string>> models;
+    // Adapters on their way, as model and adapter.
+    std::set<std::pair<std::string, std::string>> incoming;
+    std::vector<std::string> in_memory;
+    std::vector<std::string> on_disk;
+    // It carries out an order about a model.
+    bool busy = false;
+    // Orders it has accepted since its start.
+    std::uint64_t orders_accepted = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t running = 0;
+    std::uint64_t kv_used = 0;
+    std::uint64_t kv_total = 0;
+};
+
+enum class order_action { load, unload };
+
+struct engine_order {
+    order_action action = order_action::load;
+    std::string model;
+    // Empty for an order about the model itself.
+    std::string adapter;
+    std::string holder;
+    std::uint64_t fence = 0;
+    // Orders that the engine must have accepted before this one.
+    std::uint64_t expected_orders = 0;
+    std::string target_id;
+};
+
+struct engine_call {
+    std::string method;
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+enum class order_answer { accepted, holds_already, conflict, stale_fence, refused, other_engine };
+
+struct protocol_error {
+    std::string message;
+};
+
+struct engine_protocol {
+    std::function<engine_call()> report_call;
+    std::function<result<engine_report, protocol_error>(std::string_view body)> decode_report;
+    std::function<engine_call(const engine_order&)> order_call;
+    std::function<order_answer(unsigned status)> decode_order_answer;
+};
+
+}  // namespace burdockdeck::sidecar
--- /dev/null
+++ b/libs/sidecar/src/server.cpp
@@ -0,0 +1,271 @@
+// The gRPC service of a sidecar.
+#include "sidecar/server.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include "engine_link.h"
+#include "runtime/clock.h"
+#include "runtime/log.h"
+#include "runtime/rpc.h"
+#include "services.grpc.pb.h"
+
+namespace burdockdeck::sidecar {
+
+namespace asio = boost::asio;
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+namespace {
+
+// An adapter takes some milliseconds to arrive; asked about again this often.
+constexpr duration arrival_check = std::chrono::milliseconds(4);
+constexpr int max_order_tries = 4;
+
+struct shared_state {
+    shared_state(const sidecar_settings& s, engine_protocol p, runtime::rpc_access a)
+        : settings(s), access(std::move(a)), link(loop, s, std::move(p)) {}
+
+    sidecar_settings settings;
+    runtime::rpc_access access;
+    runtime::loop loop{"control"};
+    engine_link link;
+    adapter_leases leases;
+    // Highest term of a planner that gave an order.
+    std::uint64_t term = 0;
+};
+
+// One order towards the adapter's presence; empty once it is there or cannot come.
+struct ensure_step {
+    bool present = false;
+    bool impossible = false;
+    std::string reason;
+};
+
+asio::awaitable<ensure_step> advance(shared_state& s, const rpc::ensure_adapter_request& request) {
+    const adapter_name wanted{request.model(), request.adapter()};
+    ensure_step step;
+    const std::optional<engine_report> seen = co_await s.link.report();
+    if (!seen) {
+        step.impossible = true;
+        step.reason = "the engine does not answer: " + s.link.failure();
+        co_return step;
+    }
+    if (is_present(*seen, wanted)) {
+        step.present = true;
+        co_return step;
+    }
+    if (is_incoming(*seen, wanted)) {
+        co_return step;
+    }
+    if (!seen->models.contains(wanted.first)) {
+        step.impossible = true;
+        step.reason = "the model is not there";
+        co_return step;
+    }
+    engine_report now_seen = *seen;
+    if (places_taken(*seen) >= request.max_adapters()) {
+        const auto unload =
+            to_unload(*seen, s.leases, s.settings.adapter_lease, runtime::boot_now());
+        if (!unload) {
+            step.impossible = true;
+            step.reason = "all places are in use";
+            co_return step;
+        }
+        const adapter_name victim = *unload;
+        (void)co_await s.link.order(order_action::unload, victim, request.upstream(), now_seen);
+        co_return step;
+    }
+    const order_result ordered =
+        co_await s.link.order(order_action::load, wanted, request.upstream(), now_seen);
+    if (ordered == order_result::refused) {
+        step.impossible = true;
+        step.reason = "refused: " + s.link.failure();
+    }
+    step.present = ordered == order_result::holds_already;
+    co_return step;
+}
+
+asio::awaitable<void> ensure(shared_state& s, const rpc::ensure_adapter_request& request,
+                             rpc::ensure_adapter_reply& reply, grpc::ServerUnaryReactor* reactor) {
+    const time_point until = runtime::boot_now() + std::chrono::milliseconds(request.timeout_ms());
+    s.leases.asked[{request.model(), request.adapter()}] = runtime::boot_now();
+    co_await s.link.enter();
+    std::string reason = "out of time";
+    while (runtime::boot_now() < until) {
+        const ensure_step step = co_await advance(s, request);
+        if (step.present) {
+            reply.set_present(true);
+            break;
+        }
+        if (step.impossible) {
+            reason = step.reason;
+            break;
+        }
+        co_await runtime::sleep_for(arrival_check);
+    }
+    s.link.leave();
+    if (reply.present()) {
+        // Gateways let their own lease end first.
+        reply.set_lease_ms(
+            static_cast<std::uint32_t>(to_milliseconds(s.settings.adapter_lease * 3 / 4)));
+    } else {
+        s.leases.asked.erase({request.model(), request.adapter()});
+        reply.set_message(reason);
+        log_event(severity::info, event::adapter_refused,
+                  {{"model", request.model()}, {"adapter", request.adapter()}, {"reason", reason}});
+    }
+    reactor->Finish(grpc::Status::OK);
+}
+
+rpc::order_model_reply::order_status status_of(order_result r) {
+    switch (r) {
+        case order_result::accepted:
+            return rpc::order_model_reply::accepted;
+        case order_result::holds_already:
+            return rpc::order_model_reply::holds_already;
+        case order_result::busy:
+            return rpc::order_model_reply::busy;
+        case order_result::unanswered:
+            return rpc::order_model_reply::unanswered;
+        case order_result::refused:
+            break;
+    }
+    return rpc::order_model_reply::refused;
+}
+
+asio::awaitable<void> order_model(shared_state& s, const rpc::order_model_request& request,
+                                  rpc::order_model_reply& reply,
+                                  grpc::ServerUnaryReactor* reactor) {
+    if (request.term() < s.term) {
+        reply.set_status(rpc::order_model_reply::refused);
+        reply.set_message("a later planner has given orders");
+        reactor->Finish(grpc::Status::OK);
+        co_return;
+    }
+    s.term = request.term();
+    co_await s.link.enter();
+    const std::optional<engine_report> seen = co_await s.link.report();
+    if (!seen || seen->born_ms != request.born_ms()) {
+        reply.set_status(rpc::order_model_reply::refused);
+        reply.set_message(seen ? "another incarnation runs here" : s.link.failure());
+    } else if (seen->busy) {
+        reply.set_status(rpc::order_model_reply::busy);
+    } else {
+        const adapter_name what{request.model(), ""};
+        const order_action action =
+            request.kind() == rpc::order_load ? order_action::load : order_action::unload;
+        const engine_report basis = *seen;
+        const order_result ordered = co_await s.link.order(action, what, request.upstream(), basis);
+        reply.set_status(status_of(ordered));
+        reply.set_message(s.link.failure());
+    }
+    s.link.leave();
+    reactor->Finish(grpc::Status::OK);
+}
+
+asio::awaitable<void> inventory(shared_state& s, rpc::inventory_reply& reply,
+                                grpc::ServerUnaryReactor* reactor) {
+    const std::optional<engine_report> seen = co_await s.link.report();
+    if (seen) {
+        reply.set_known(true);
+        reply.set_born_ms(seen->born_ms);
+        for (const auto& [model, adapters] : seen->models) {
+            schema::present_model& m = *reply.add_models();
+            m.set_name(model);
+            for (const std::string& a : adapters) {
+                m.add_adapters(a);
+            }
+        }
+        reply.mutable_in_memory()->Assign(seen->in_memory.begin(), seen->in_memory.end());
+        reply.mutable_on_disk()->Assign(seen->on_disk.begin(), seen->on_disk.end());
+        reply.set_busy(seen->busy);
+        reply.set_queued(seen->queued);
+        reply.set_running(seen->running);
+    }
+    reactor->Finish(grpc::Status::OK);
+}
+
+class sidecar_service : public rpc::sidecar::CallbackService {
+public:
+    explicit sidecar_service(shared_state& s) : state_(s) {}
+
+    grpc::ServerUnaryReactor* ensure_adapter(grpc::CallbackServerContext* context,
+                                             const rpc::ensure_adapter_request* request,
+                                             rpc::ensure_adapter_reply* reply) override {
+        return run(context, [this, request, reply](auto* reactor) {
+            return ensure(state_, *request, *reply, reactor);
+        });
+    }
+    grpc::ServerUnaryReactor* order_model(grpc::CallbackServerContext* context,
+                                          const rpc::order_model_request* request,
+                                          rpc::order_model_reply* reply) override {
+        return run(context, [this, request, reply](auto* reactor) {
+            return sidecar::order_model(state_, *request, *reply, reactor);
+        });
+    }
+    grpc::ServerUnaryReactor* inventory(grpc::CallbackServerContext* context,
+                                        const rpc::inventory_request*,
+                                        rpc::inventory_reply* reply) override {
+        return run(context, [this, reply](auto* reactor) {
+            return sidecar::inventory(state_, *reply, reactor);
+        });
+    }
+
+private:
+    template <class Handle>
+    grpc::ServerUnaryReactor* run(grpc::CallbackServerContext* context, Handle handle) {
+        grpc::ServerUnaryReactor* reactor = context->DefaultReactor();
+        if (!state_.access.allows(*context)) {
+            reactor->Finish(grpc::Status(grpc::StatusCode::UNAUTHENTICATED,
+                                         "the shared key is missing or wrong"));
+            return reactor;
+        }
+        runtime::spawn(state_.loop, [reactor, handle] { return handle(reactor); });
+        return reactor;
+    }
+
+    shared_state& state_;
+};
+
+}  // namespace
+
+struct sidecar_server::state {
+    state(const sidecar_settings& s, engine_protocol p, runtime::rpc_access a)
+        : shared(s, std::move(p), std::move(a)), service(shared) {}
+    shared_state shared;
+    sidecar_service service;
+    std::unique_ptr<grpc::Server> server;
+};
+
+sidecar_server::sidecar_server(std::unique_ptr<state> s) : state_(std::move(s)) {}
+
+sidecar_server::~sidecar_server() {
+    if (state_->server) {
+        state_->server->Shutdown(std::chrono::system_clock::now());
+    }
+    state_->shared.loop.stop();
+}
+
+result<std::unique_ptr<sidecar_server>, sidecar_error> sidecar_server::create(
+    const sidecar_settings& settings, engine_protocol protocol) {
+    auto access = runtime::rpc_access::create(settings.access);
+    if (!succeeded(access)) {
+        return sidecar_error{to_text(error(access))};
+    }
+    auto s = std::make_unique<state>(settings, std::move(protocol), value(access));
+    auto server = runtime::start_server(to_text(settings.listen), value(access), {&s->service});
+    if (!succeeded(server)) {
+        return sidecar_error{error(server).message};
+    }
+    s->server = std::move(value(server));
+    log_event(severity::info, event::started,
+              {{"name", settings.name}, {"listen", to_text(settings.listen)}});
+    return std::unique_ptr<sidecar_server>(new sidecar_server(std::move(s)));
+}
+
+void sidecar_server::stop(std::function<void()> finished) {
+    finished();
+}
+
+}  // namespace burdockdeck::sidecar
--- a/libs/storage/include/storage/store.h
+++ b/libs/storage/include/storage/store.h
@@ -48,6 +48,9 @@
     [[nodiscard]] const schema::identity& identity() const;
     // Joins a cluster for good. Precondition: no cluster is set yet.
     [[nodiscard]] result<nothing, storage_error> join_cluster(const std::string& cluster);
+    // The same for a founder, whose identity follows from its settings.
+    [[nodiscard]] result<nothing, storage_error> found_cluster(const std::string& cluster,
+                                                               std::uint64_t node_id);
     // Appends and syncs one batch; its entries replace all stored ones from their first index on.
     [[nodiscard]] result<nothing, storage_error> append(schema::storage_batch batch);
     // Replaces the snapshot, and the log by `hard` and `entries`, so that a crash at any point
--- a/libs/storage/src/store.cpp
+++ b/libs/storage/src/store.cpp
@@ -194,7 +194,13 @@
 }
 
 result<nothing, storage_error> store::join_cluster(const std::string& cluster) {
+    return found_cluster(cluster, state_->identity.node_id());
+}
+
+result<nothing, storage_error> store::found_cluster(const std::string& cluster,
+                                                    std::uint64_t node_id) {
     schema::identity joined = state_->identity;
+    joined.set_node_id(node_id);
     joined.set_cluster(cluster);
     auto written = replace_file(state_->file("identity"), sealed(joined));
     if (succeeded(written)) {
