--- a/libs/control/src/status.cpp
+++ b/libs/control/src/status.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "document/document.h"
+#include "runtime/clock.h"
 
 namespace burdockdeck::control {
 
