Planner of model copies; a stop that reads nothing after it closed idle connections

Change: placement/moves plans loads and unloads, sidecars give the orders; a stopping gateway closes its listener and idle connections before it waits for the rest, and leaves late requests to others.

--- /dev/null
+++ b/libs/control/src/planner.cpp
@@ -0,0 +1,232 @@
+// The leader's planner: demand from the gateways' reports, moves by placement, orders by sidecars.
+#include <algorithm>
+#include <cmath>
+
+#include "placement/moves.h"
+#include "runtime/clock.h"
+#include "runtime/http.h"
+#include "runtime/log.h"
+#include "site.h"
+
+namespace burdockdeck::control {
+
+namespace {
+
+using runtime::event;
+using runtime::log_event;
+using runtime::severity;
+
+constexpr duration plan_interval = std::chrono::milliseconds(250);
+constexpr duration order_timeout = std::chrono::milliseconds(1500);
+// A gateway silent for this long has no demand that anyone knows of.
+constexpr duration report_patience = std::chrono::seconds(3);
+// An engine silent for this many announcement intervals is not planned for.
+constexpr int missed_announcements = 4;
+// Demand rises with this share of each report, and falls more slowly.
+constexpr double rise = 0.35;
+constexpr double fall = 0.06;
+// Engine time of a prompt token and of an output token, in milliseconds; prompt tokens are partly
+// kept already.
+constexpr double prompt_token_ms = 0.5 / 38.0;
+constexpr double output_token_ms = 0.1;
+// Demand below this share of an engine is none.
+constexpr double least_demand = 0.003;
+
+std::uint64_t version_in_force(const instance& i) {
+    return i.raft->state().deployment().version();
+}
+
+void refresh_deployment(instance& i) {
+    if (i.site->current.version == version_in_force(i)) {
+        return;
+    }
+    auto decoded = i.site->protocol.decode_deployment(i.raft->state().deployment().source());
+    if (succeeded(decoded)) {
+        i.site->current = std::move(value(decoded));
+    } else {
+        log_event(severity::error, event::deployment_refused,
+                  {{"version", version_in_force(i)}, {"reason", error(decoded).message}});
+    }
+}
+
+// Room for weights at one engine: adapters may take the rest at any time.
+double room_for_weights(const deployment::engine_spec& spec) {
+    double largest = 0;
+    for (const deployment::model_spec& m : spec.models) {
+        largest = std::max(largest, m.adapters > 0 ? m.adapter_mb : 0);
+    }
+    return spec.weights_mb - largest * spec.max_adapters;
+}
+
+placement::engine_state engine_of(const registry::upstream_entry& e,
+                                  const deployment::engine_spec& spec, bool heard) {
+    const schema::upstream_announcement& a = e.latest;
+    placement::engine_state out;
+    out.id = a.id();
+    out.address = a.address();
+    out.born_ms = a.born_ms();
+    out.failure_domain = a.failure_domain();
+    out.accepting = heard && a.state() == schema::announced_ready;
+    out.room_mb = room_for_weights(spec);
+    for (const schema::present_model& m : a.models()) {
+        out.models.insert(m.name());
+    }
+    out.copies.insert(a.in_memory().begin(), a.in_memory().end());
+    out.copies.insert(a.on_disk().begin(), a.on_disk().end());
+    return out;
+}
+
+void update_demand(site_state& site, time_point now) {
+    std::map<std::string, double> offered;
+    std::set<std::string> unplaced;
+    for (const auto& [gateway, record] : site.demand) {
+        if (now - record.heard > report_patience) {
+            continue;
+        }
+        const double window = std::max<double>(1, record.latest.window_ms());
+        for (const rpc::model_load& load : record.latest.models()) {
+            const double ms = prompt_token_ms * static_cast<double>(load.prompt_tokens()) +
+                              output_token_ms * static_cast<double>(load.output_tokens());
+            offered[load.model()] += ms / window;
+            if (load.unplaced() > 0) {
+                unplaced.insert(load.model());
+            }
+        }
+    }
+    for (const auto& [model, share] : offered) {
+        site.smoothed.try_emplace(model, 0.0);
+    }
+    for (auto& [model, share] : site.smoothed) {
+        const auto found = offered.find(model);
+        const double fresh = found == offered.end() ? 0 : found->second;
+        share += (fresh > share ? rise : fall) * (fresh - share);
+    }
+    site.unplaced = std::move(unplaced);
+}
+
+placement::fleet_state fleet_of(const instance& i, const deployment::service_spec& service,
+                                time_point now) {
+    placement::fleet_state f;
+    for (const deployment::model_spec& m : service.engine.models) {
+        f.models[m.name] = {m.weights_mb};
+        const auto found = i.site->smoothed.find(m.name);
+        placement::model_demand& d = f.demand[m.name];
+        d.engines =
+            found == i.site->smoothed.end() || found->second < least_demand ? 0 : found->second;
+        d.unplaced = i.site->unplaced.contains(m.name);
+    }
+    const duration silence = i.settings.site->announce_interval * missed_announcements;
+    for (const auto& [id, e] : i.site->upstreams.upstreams) {
+        if (e.latest.service() == service.name && e.latest.state() != schema::announced_gone) {
+            f.engines.push_back(engine_of(e, service.engine, now - e.heard < silence));
+        }
+    }
+    return f;
+}
+
+placement::move_settings settings_for(const instance& i, const deployment::engine_spec& spec) {
+    placement::move_settings s;
+    const double window_s = to_seconds(i.settings.site->store_window);
+    s.store_window = i.settings.site->store_window;
+    s.store_per_window =
+        static_cast<std::uint32_t>(std::max(1.0, std::floor(spec.store_loads_per_s * window_s)));
+    s.store_at_once =
+        static_cast<std::uint32_t>(std::max(1.0, std::ceil(spec.store_loads_per_s * 3)));
+    return s;
+}
+
+std::string sidecar_address(const instance& i, const std::string& engine_address) {
+    const auto at = settings::parse_endpoint(engine_address).value_or(settings::endpoint{});
+    return to_text(settings::endpoint{at.ip, i.settings.site->sidecar_port});
+}
+
+boost::asio::awaitable<void> give_order(instance& i, placement::move m,
+                                        placement::engine_state engine) {
+    const std::string address = sidecar_address(i, engine.address);
+    auto& stub = i.site->sidecars[address];
+    if (stub == nullptr) {
+        stub = rpc::sidecar::NewStub(runtime::open_channel(address, i.access));
+    }
+    const std::shared_ptr<rpc::sidecar::Stub> to = stub;
+    const auto start = [&to](auto... arguments) { to->async()->order_model(arguments...); };
+    rpc::order_model_request request;
+    request.set_term(i.raft->node()->term);
+    request.set_upstream(engine.id);
+    request.set_born_ms(engine.born_ms);
+    request.set_kind(m.kind == placement::move_kind::load ? rpc::order_load : rpc::order_unload);
+    request.set_model(m.model);
+    request.mutable_assumed_models()->Assign(engine.models.begin(), engine.models.end());
+    auto answer = co_await runtime::call_unary<rpc::order_model_reply>(
+        i.loop.context(), i.access, std::move(request), order_timeout, start);
+    if (!succeeded(answer)) {
+        // It may have been carried out: the order stays noted until its effect shows.
+        i.site->sidecars.erase(address);
+        log_event(severity::warning, event::order_failed,
+                  {{"upstream", engine.id}, {"model", m.model}, {"reason", error(answer).message}});
+        co_return;
+    }
+    using reply = rpc::order_model_reply;
+    const auto status = value(answer).status();
+    if (status == reply::busy || status == reply::refused) {
+        placement::note_refused(i.site->moves, engine.id);
+        log_event(severity::info, event::order_failed,
+                  {{"upstream", engine.id},
+                   {"model", m.model},
+                   {"status", static_cast<int>(status)},
+                   {"reason", value(answer).message()}});
+    }
+}
+
+void plan_service(instance& i, const deployment::service_spec& service, time_point now) {
+    const placement::fleet_state f = fleet_of(i, service, now);
+    const placement::move_settings s = settings_for(i, service.engine);
+    placement::settle(i.site->moves, f, s, now);
+    for (const placement::move& m : placement::next_moves(f, i.site->moves, s, now)) {
+        const auto e =
+            std::find_if(f.engines.begin(), f.engines.end(),
+                         [&](const placement::engine_state& x) { return x.id == m.engine; });
+        placement::note_ordered(i.site->moves, m, now);
+        log_event(severity::info, event::order_planned,
+                  {{"upstream", m.engine},
+                   {"kind", m.kind == placement::move_kind::load ? "load" : "unload"},
+                   {"model", m.model},
+                   {"from_store", m.from_store ? "yes" : "no"},
+                   {"reason", m.reason}});
+        runtime::spawn(i.loop, [&i, m, engine = *e] { return give_order(i, m, engine); });
+    }
+}
+
+boost::asio::awaitable<void> keep_planning(instance& i) {
+    std::uint64_t planned_term = 0;
+    time_point last_round = runtime::boot_now();
+    while (!i.stopping) {
+        co_await runtime::sleep_for(plan_interval);
+        const time_point now = runtime::boot_now();
+        // A leader that was held up must first hear that it still leads.
+        const bool held_up = now - last_round > 4 * plan_interval;
+        last_round = now;
+        if (!i.raft->is_leader() || held_up) {
+            continue;
+        }
+        refresh_deployment(i);
+        update_demand(*i.site, now);
+        for (const deployment::service_spec& service : i.site->current.services) {
+            if (service.engine.slots == 0) {
+                continue;
+            }
+            if (planned_term != i.raft->node()->term) {
+                placement::begin_planning(i.site->moves, settings_for(i, service.engine), now);
+                planned_term = i.raft->node()->term;
+            }
+            plan_service(i, service, now);
+        }
+    }
+}
+
+}  // namespace
+
+void start_planning(instance& i) {
+    runtime::spawn(i.loop, [&i] { return keep_planning(i); });
+}
+
+}  // namespace burdockdeck::control
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -116,6 +116,7 @@
 
 void start_site(instance& i) {
     start_joining(i);
+    start_planning(i);
     runtime::spawn(i.loop, [&i] { return keep_up(i); });
 }
 
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -10,6 +10,7 @@
 
 #include "control/site_protocol.h"
 #include "instance.h"
+#include "placement/moves.h"
 #include "registry/registry.h"
 #include "watcher.h"
 
@@ -40,6 +41,14 @@
     std::map<std::string, demand_record> demand;
     // Decoded from the deployment in force.
     deployment::site current;
+
+    // --- Of the planner
+    // Share of engines that each model needs, smoothed, and models that requests found nowhere.
+    std::map<std::string, double> smoothed;
+    std::set<std::string> unplaced;
+    placement::move_memory moves;
+    // By address.
+    std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
 };
 
 // Starts joining, relaying and the upkeep of watches.
@@ -58,6 +67,11 @@
 // Sends each watcher what it does not know yet.
 void update_site_watchers(instance& i);
 
+// --- Placement
+
+// Plans loads and unloads while this instance leads.
+void start_planning(instance& i);
+
 // --- Membership
 
 // Founds or joins the cluster, and comes back when this instance was swapped out.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -23,8 +23,10 @@
 constexpr unsigned gateway_timeout = 504;
 // When no upstream could take the request: the time until the next announcement or load.
 constexpr duration come_back_soon = std::chrono::milliseconds(300);
-// A load from the store takes some seconds.
-constexpr duration come_back_after_load = std::chrono::milliseconds(1500);
+// Another gateway can take the request now.
+constexpr duration come_back_at_once = std::chrono::milliseconds(20);
+// Requests that arrive this long after the signal to stop are left to other gateways.
+constexpr duration late_drain = std::chrono::milliseconds(2200);
 // A request waits for a place only while an answer in time is still likely.
 constexpr double waiting_share = 0.6;
 constexpr duration wait_step = std::chrono::milliseconds(200);
@@ -251,6 +253,12 @@
         co_await refuse(c, caller, *r, unavailable, std::move(reason), come_back_soon);
         co_return;
     }
+    if (c.draining && r->request.arrived - c.draining_since > late_drain) {
+        // It could outlast the grace time; nothing has been sent, so another gateway can take it.
+        std::string reason = "this gateway stops";
+        co_await refuse(c, caller, *r, unavailable, std::move(reason), come_back_at_once);
+        co_return;
+    }
     if (!route_request(c, *r)) {
         std::string reason = "no route matches";
         co_await refuse(c, caller, *r, not_found, std::move(reason), duration::zero());
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -207,29 +207,34 @@
         }
     }
 
-    // Ends once nothing is in hand and the platform has taken this gateway out, or time is short.
+    // Takes connections until the platform has taken this gateway out, then finishes what is in
+    // hand. Nothing new is read once idle connections are closed.
     asio::awaitable<void> drain(std::function<void()> finished) {
         core& c = shared;
-        const time_point began = runtime::boot_now();
-        const time_point latest = began + c.settings.grace - grace_margin;
+        c.draining_since = runtime::boot_now();
+        const time_point latest = c.draining_since + c.settings.grace - grace_margin;
+        co_await runtime::sleep_for(rotation_delay);
+        boost::system::error_code ignored;
+        (void)acceptor->close(ignored);
         while (runtime::boot_now() < latest) {
-            co_await runtime::sleep_for(drain_check_interval);
-            if (runtime::boot_now() - began < rotation_delay || c.active_requests > 0) {
-                continue;
+            close_idle_sessions();
+            if (c.active_requests == 0) {
+                break;
             }
-            break;
+            co_await runtime::sleep_for(drain_check_interval);
         }
         log_event(severity::info, event::draining,
                   {{"step", "closing"}, {"in_hand", c.active_requests}});
-        boost::system::error_code ignored;
-        (void)acceptor->close(ignored);
-        const auto sessions = c.sessions;
+        finished();
+    }
+
+    void close_idle_sessions() {
+        const auto sessions = shared.sessions;
         for (const std::weak_ptr<session>& weak : sessions) {
             if (const auto s = weak.lock()) {
                 s->close_if_idle();
             }
         }
-        finished();
     }
 };
 
--- /dev/null
+++ b/libs/placement/include/placement/moves.h
@@ -0,0 +1,105 @@
+// Loads and unloads of models over engines that hold several: demand that found no copy first, then
+// the copies that are busiest, within the memory of each engine and the rate of the weight store.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace burdockdeck::placement {
+
+struct move_settings {
+    // A copy busier than this share of an engine gets another beside it.
+    double busy_share = 0.4;
+    // A copy is given up for another model only if that one is busier by this factor.
+    double worth_factor = 2.5;
+    // Loads from the store at the same time, over all engines; beyond, each takes longer.
+    std::uint32_t store_at_once = 4;
+    // Loads from the store that begin within the window.
+    std::uint32_t store_per_window = 6;
+    duration store_window = std::chrono::seconds(5);
+    // An order that shows no effect for this long is taken as lost.
+    duration order_patience = std::chrono::seconds(14);
+    // A model that was loaded is not unloaded sooner than this.
+    duration least_stay = std::chrono::seconds(3);
+};
+
+struct sized_model {
+    double weights_mb = 0;
+};
+
+// One engine. Invariant: `models` are those it announced; an order under way is in `order` alone.
+struct engine_state {
+    std::string id;
+    std::string address;
+    std::uint64_t born_ms = 0;
+    std::string failure_domain;
+    bool accepting = true;
+    // Room for weights, without what adapters may take.
+    double room_mb = 0;
+    std::set<std::string> models;
+    // Models whose weights the host has, so that a load needs no store.
+    std::set<std::string> copies;
+};
+
+enum class move_kind { load, unload };
+
+struct move {
+    std::string engine;
+    move_kind kind = move_kind::load;
+    std::string model;
+    bool from_store = false;
+    std::string reason;
+};
+
+struct order_under_way {
+    move ordered;
+    time_point at{};
+};
+
+// What the planner remembers between rounds.
+struct move_memory {
+    // By engine.
+    std::map<std::string, order_under_way> orders;
+    // Beginnings of loads from the store within the window.
+    std::deque<time_point> store_loads;
+    // When each copy was loaded, by engine and model.
+    std::map<std::pair<std::string, std::string>, time_point> loaded;
+};
+
+// Demand of a model: the share of engines that it needs, and whether requests found it nowhere.
+struct model_demand {
+    double engines = 0;
+    bool unplaced = false;
+};
+
+struct fleet_state {
+    std::vector<engine_state> engines;
+    std::map<std::string, sized_model> models;
+    std::map<std::string, model_demand> demand;
+};
+
+// --- Queries
+
+// The moves to order now, at most one for each engine.
+[[nodiscard]] std::vector<move> next_moves(const fleet_state& f, const move_memory& m,
+                                           const move_settings& s, time_point now);
+
+// --- Commands
+
+// Forgets orders whose effect shows or that are lost, and loads that have left the window.
+void settle(move_memory& m, const fleet_state& f, const move_settings& s, time_point now);
+void note_ordered(move_memory& m, const move& ordered, time_point now);
+// An order that the engine refused never holds.
+void note_refused(move_memory& m, const std::string& engine);
+// A planner that has just begun does not know the loads before it: it takes part of the window as
+// used up.
+void begin_planning(move_memory& m, const move_settings& s, time_point now);
+
+}  // namespace burdockdeck::placement
--- /dev/null
+++ b/libs/placement/tests/test_moves.cpp
@@ -0,0 +1,3 @@
+// Tests of moves.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- a/libs/sidecar/src/server.cpp
+++ b/libs/sidecar/src/server.cpp
@@ -1,6 +1,7 @@
 // The gRPC service of a sidecar.
 #include "sidecar/server.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 
 #include "engine_link.h"
@@ -134,6 +135,13 @@
     return rpc::order_model_reply::refused;
 }
 
+bool holds_unassumed(const engine_report& seen, const rpc::order_model_request& request) {
+    return std::any_of(seen.models.begin(), seen.models.end(), [&](const auto& held) {
+        return std::find(request.assumed_models().begin(), request.assumed_models().end(),
+                         held.first) == request.assumed_models().end();
+    });
+}
+
 asio::awaitable<void> order_model(shared_state& s, const rpc::order_model_request& request,
                                   rpc::order_model_reply& reply,
                                   grpc::ServerUnaryReactor* reactor) {
@@ -151,6 +159,9 @@
         reply.set_message(seen ? "another incarnation runs here" : s.link.failure());
     } else if (seen->busy) {
         reply.set_status(rpc::order_model_reply::busy);
+    } else if (holds_unassumed(*seen, request)) {
+        reply.set_status(rpc::order_model_reply::refused);
+        reply.set_message("the engine holds a model that the planner does not know of");
     } else {
         const adapter_name what{request.model(), ""};
         const order_action action =
