Adapters: one place for an adapter, no orders while the engine is busy or the victim in use

Relays to a lost instance logged each try. Change: sidecar looks at busy and waits out an accepted unload; gateways leave a blocked engine alone and keep all work of one adapter together; relays back off and log changes only.

--- a/libs/control/src/joiner.cpp
+++ b/libs/control/src/joiner.cpp
@@ -102,7 +102,7 @@
     auto answer = co_await runtime::call_unary<rpc::join_reply>(
         i.loop.context(), i.access, std::move(request), join_timeout, start);
     if (!succeeded(answer)) {
-        i.site->peers.erase(address);
+        i.site->peers[address].stub.reset();
         co_return;
     }
     named->insert(value(answer).addresses().begin(), value(answer).addresses().end());
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -16,6 +16,8 @@
 // Refreshed announcements wait this long for others, so that one call carries several.
 constexpr duration relay_gather = std::chrono::milliseconds(25);
 constexpr duration relay_timeout = std::chrono::milliseconds(1000);
+// A peer that a relay did not reach is left alone this long.
+constexpr duration relay_backoff = std::chrono::milliseconds(500);
 constexpr duration upkeep_interval = std::chrono::milliseconds(200);
 // Every watcher hears something at least this often.
 constexpr duration watch_heartbeat = std::chrono::milliseconds(400);
@@ -47,21 +49,27 @@
     w->send(update_for(i, *w, known), i.site->upstreams.changes);
 }
 
+void note_relay(instance& i, const std::string& address, bool lost, const std::string& reason) {
+    peer_link& link = i.site->peers[address];
+    if (lost) {
+        // The connection may have gone silent; the next call opens another.
+        link.stub.reset();
+        link.retry_at = runtime::boot_now() + relay_backoff;
+    }
+    if (link.lost != lost) {
+        link.lost = lost;
+        log_event(severity::info, lost ? event::relay_lost : event::relay_regained,
+                  {{"peer", address}, {"reason", reason}});
+    }
+}
+
 boost::asio::awaitable<void> relay_to(instance& i, std::string address,
                                       rpc::announcement_relay batch) {
     const std::shared_ptr<rpc::control_peer::Stub> stub = peer_stub(i, address);
     const auto start = [&stub](auto... arguments) { stub->async()->relay(arguments...); };
     auto sent = co_await runtime::call_unary<rpc::acknowledgement>(
         i.loop.context(), i.access, std::move(batch), relay_timeout, start);
-    if (!succeeded(sent)) {
-        // The connection may have gone silent; the next call opens another.
-        const auto found = i.site->peers.find(address);
-        if (found != i.site->peers.end() && found->second == stub) {
-            i.site->peers.erase(found);
-            log_event(severity::info, event::relay_lost,
-                      {{"peer", address}, {"reason", error(sent).message}});
-        }
-    }
+    note_relay(i, address, !succeeded(sent), succeeded(sent) ? "" : error(sent).message);
 }
 
 void flush_relay(instance& i) {
@@ -72,13 +80,32 @@
     batch.mutable_announcements()->Assign(i.site->to_relay.begin(), i.site->to_relay.end());
     i.site->to_relay.clear();
     const std::string self = to_text(i.settings.advertise);
+    const time_point now = runtime::boot_now();
     for (const std::string& address : i.raft->member_addresses()) {
-        if (address != self) {
+        if (address != self && now >= i.site->peers[address].retry_at) {
             runtime::spawn(i.loop, [&i, address, batch] { return relay_to(i, address, batch); });
         }
     }
 }
 
+// A peer that was away for a while gets everything that is known here.
+void catch_up_peer(instance& i, const std::string& address) {
+    rpc::announcement_relay batch;
+    for (const auto& [id, e] : i.site->upstreams.upstreams) {
+        *batch.add_announcements() = e.latest;
+    }
+    runtime::spawn(i.loop, [&i, address, batch] { return relay_to(i, address, batch); });
+}
+
+void catch_up_lost_peers(instance& i, time_point now) {
+    for (auto& [address, link] : i.site->peers) {
+        if (link.lost && now >= link.retry_at) {
+            link.retry_at = now + relay_backoff;
+            catch_up_peer(i, address);
+        }
+    }
+}
+
 boost::asio::awaitable<void> flush_relay_later(instance& i) {
     co_await runtime::sleep_for(relay_gather);
     i.site->relay_scheduled = false;
@@ -97,6 +124,7 @@
     while (!i.stopping) {
         const time_point now = runtime::boot_now();
         drop_old_upstreams(i, now);
+        catch_up_lost_peers(i, now);
         if (i.raft->is_leader()) {
             repair_members(i);
         }
@@ -182,7 +210,7 @@
 }
 
 std::shared_ptr<rpc::control_peer::Stub> peer_stub(instance& i, const std::string& address) {
-    auto& stub = i.site->peers[address];
+    auto& stub = i.site->peers[address].stub;
     if (stub == nullptr) {
         stub = rpc::control_peer::NewStub(runtime::open_channel(address, i.access));
     }
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -29,12 +29,21 @@
     time_point heard{};
 };
 
+// A connection to another instance, left and opened anew after each failure.
+struct peer_link {
+    std::shared_ptr<rpc::control_peer::Stub> stub;
+    // Nothing is relayed before this time; other calls open it at once.
+    time_point retry_at{};
+    bool lost = false;
+};
+
 struct site_state {
     site_protocol protocol;
     std::vector<settings::endpoint> seeds;
     registry::registry upstreams;
     std::map<std::shared_ptr<site_watcher>, gateway_watch> watchers;
-    std::map<std::string, std::shared_ptr<rpc::control_peer::Stub>> peers;
+    // Other control instances, by address.
+    std::map<std::string, peer_link> peers;
     std::vector<schema::upstream_announcement> to_relay;
     bool relay_scheduled = false;
     // What gateways last reported, by name.
--- a/libs/control/src/site_http.cpp
+++ b/libs/control/src/site_http.cpp
@@ -98,9 +98,17 @@
     if (value(decoded).version > i.raft->state().deployment().version()) {
         next.set_source(body);
     }
-    log_event(severity::info, event::deployment_in_force,
-              {{"version", value(decoded).version}, {"step", "submitted"}});
-    submit(i, std::move(command), done);
+    const std::uint64_t version = value(decoded).version;
+    const time_point began = runtime::boot_now();
+    submit(i, std::move(command), [&i, version, began, done](http_response r) {
+        log_event(severity::info, event::deployment_taken,
+                  {{"version", version},
+                   {"status", static_cast<std::uint64_t>(r.status)},
+                   {"leading", i.raft->is_leader() ? "yes" : "no"},
+                   {"version_here", i.raft->state().deployment().version()},
+                   {"took_ms", to_milliseconds(runtime::boot_now() - began)}});
+        done(std::move(r));
+    });
 }
 
 void describe_deployment(instance& i, const answer_callback& done) {
--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -21,6 +21,8 @@
     double domain_cost_ms = 12.0;
     // Time that a load of an adapter adds, in milliseconds.
     double adapter_cost_ms = 25.0;
+    // Price of having an adapter in one more place, in milliseconds.
+    double adapter_spread_ms = 150.0;
     // Expected time of a call to a plain service with a free slot, in milliseconds.
     double plain_call_ms = 40.0;
     // Largest share of a service's upstreams that may be ejected at once.
@@ -28,13 +30,22 @@
 };
 
 // Why an upstream cannot take a request.
-enum class obstacle { none, not_accepting, leaves_too_soon, model_absent, ejected, tried };
+enum class obstacle {
+    none,
+    not_accepting,
+    leaves_too_soon,
+    model_absent,
+    adapter_blocked,
+    ejected,
+    tried
+};
 
-inline constexpr name_table<obstacle, 6> obstacle_names{{
+inline constexpr name_table<obstacle, 7> obstacle_names{{
     {obstacle::none, "none"},
     {obstacle::not_accepting, "not_accepting"},
     {obstacle::leaves_too_soon, "leaves_too_soon"},
     {obstacle::model_absent, "model_absent"},
+    {obstacle::adapter_blocked, "adapter_blocked"},
     {obstacle::ejected, "ejected"},
     {obstacle::tried, "tried"},
 }};
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -70,6 +70,8 @@
     time_point leaves_at = time_point::max();
     time_point cold_until{};
     std::map<std::string, held_model, std::less<>> models;
+    // Until then it loads no adapter that it does not hold.
+    time_point adapters_blocked_until{};
 
     // Of this gateway's own requests.
     std::uint32_t in_flight = 0;
@@ -83,7 +85,8 @@
 
 // Prompt tokens of `w` that `u` would have to read, by what this gateway sent there.
 [[nodiscard]] std::uint32_t tokens_to_read(const upstream& u, const work& w);
-// Identifies the shared parts of `w` together with its model and adapter; 0 if it shares none.
+// Identifies what `w` shares with other requests and an engine may keep: its adapter, or else the
+// shared parts of its prompt for its model; 0 if it shares nothing.
 [[nodiscard]] std::uint64_t affinity_key(const work& w);
 
 // --- Commands
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -78,6 +78,10 @@
     if (r.tried != nullptr && std::find(r.tried->begin(), r.tried->end(), u.id) != r.tried->end()) {
         return obstacle::tried;
     }
+    if (!r.needs->adapter.empty() && u.adapters_blocked_until > now &&
+        !holds_adapter(u, *r.needs, now)) {
+        return obstacle::adapter_blocked;
+    }
     return ejected(u, now) ? obstacle::ejected : obstacle::none;
 }
 
@@ -131,7 +135,9 @@
         double ms = expected_ms(*u, r, s, now) + jitter(rng);
         const std::uint32_t unread = tokens_to_read(*u, *r.needs);
         const bool unknown_here = unread >= r.needs->prompt_tokens;
-        if (u == preferred && unknown_here) {
+        if (!r.needs->adapter.empty()) {
+            ms += u == preferred || holds_adapter(*u, *r.needs, now) ? 0 : s.adapter_spread_ms;
+        } else if (u == preferred && unknown_here) {
             ms -= preferred_kept_share * shared_ms;
         } else if (u != preferred && preferred != nullptr && unknown_here) {
             // Reading shared parts in one more place takes memory from others there.
--- a/libs/dispatch/src/upstream.cpp
+++ b/libs/dispatch/src/upstream.cpp
@@ -45,6 +45,10 @@
 }
 
 std::uint64_t affinity_key(const work& w) {
+    if (!w.adapter.empty()) {
+        // Places for adapters are few: all work of one adapter goes where the adapter is.
+        return seed_of(w);
+    }
     if (w.parts.size() < 2) {
         return 0;
     }
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -258,7 +258,11 @@
             // The model or adapter is not there any more, or another upstream is.
             if (dispatch::upstream* u = guard.find()) {
                 const auto model = u->models.find(r.facts.needs.model);
-                if (model != u->models.end()) {
+                const bool without_adapter = r.facts.needs.adapter.empty();
+                if (model != u->models.end() && without_adapter) {
+                    // The next announcement says whether it comes back.
+                    u->models.erase(model);
+                } else if (model != u->models.end()) {
                     model->second.adapters.erase(r.facts.needs.adapter);
                 }
             }
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -30,6 +30,8 @@
 // A request waits for a place only while an answer in time is still likely.
 constexpr double waiting_share = 0.6;
 constexpr duration wait_step = std::chrono::milliseconds(200);
+// A sidecar that does not answer is not asked again for this long.
+constexpr duration blocked_unreachable = std::chrono::milliseconds(800);
 constexpr duration ensure_timeout = std::chrono::milliseconds(400);
 // The caller's clock started before the request arrived here.
 constexpr duration answer_margin = std::chrono::milliseconds(20);
@@ -116,6 +118,21 @@
     return stub;
 }
 
+// An upstream that cannot load the adapter now is left to requests that need none.
+void note_blocked(core& c, const std::string& id, const request_state& r,
+                  const rpc::ensure_adapter_reply* reply) {
+    const auto found = c.view.upstreams.find(id);
+    if (found == c.view.upstreams.end()) {
+        return;
+    }
+    const duration blocked =
+        reply == nullptr ? blocked_unreachable : std::chrono::milliseconds(reply->blocked_ms());
+    found->second.adapters_blocked_until = runtime::boot_now() + blocked;
+    if (reply != nullptr && !reply->model_present()) {
+        found->second.models.erase(r.facts.needs.model);
+    }
+}
+
 // Has the adapter loaded at the chosen upstream. False if it cannot be there in time.
 asio::awaitable<bool> ensure_adapter(core& c, request_state& r, dispatch::choice to) {
     const std::string id = to.to->id;
@@ -139,6 +156,7 @@
                    {"model", r.facts.needs.model},
                    {"adapter", r.facts.needs.adapter},
                    {"reason", r.last_failure}});
+        note_blocked(c, id, r, succeeded(answer) ? &value(answer) : nullptr);
         if (!succeeded(answer)) {
             c.sidecars.erase(settings::to_text(settings::endpoint{
                 settings::parse_endpoint(address).value_or(settings::endpoint{}).ip,
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -73,9 +73,10 @@
     lines_dropped,
     read_refused,
     announcement_refused,
+    deployment_taken,
 };
 
-inline constexpr name_table<event, 61> event_names{{
+inline constexpr name_table<event, 62> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -137,6 +138,7 @@
     {event::lines_dropped, "lines_dropped"},
     {event::read_refused, "read_refused"},
     {event::announcement_refused, "announcement_refused"},
+    {event::deployment_taken, "deployment_taken"},
 }};
 
 // One key=value pair. Values with spaces, quotes or equals signs are quoted in the line.
--- a/libs/sidecar/src/server.cpp
+++ b/libs/sidecar/src/server.cpp
@@ -21,7 +21,8 @@
 
 // An adapter takes some milliseconds to arrive; asked about again this often.
 constexpr duration arrival_check = std::chrono::milliseconds(4);
-constexpr int max_order_tries = 4;
+// When an adapter that cannot be loaded now may be asked for again.
+constexpr duration blocked_guess = std::chrono::milliseconds(250);
 
 struct shared_state {
     shared_state(const sidecar_settings& s, engine_protocol p, runtime::rpc_access a)
@@ -36,85 +37,91 @@
     std::uint64_t term = 0;
 };
 
-// One order towards the adapter's presence; empty once it is there or cannot come.
+// What one look at the engine came to.
+enum class ensure_status { present, arriving, blocked, model_absent, unreachable };
+
 struct ensure_step {
-    bool present = false;
-    bool impossible = false;
+    ensure_status status = ensure_status::arriving;
     std::string reason;
 };
 
+asio::awaitable<ensure_step> make_room(shared_state& s, const rpc::ensure_adapter_request& request,
+                                       engine_report seen) {
+    const auto unload = to_unload(seen, s.leases, s.settings.adapter_lease, runtime::boot_now());
+    if (!unload) {
+        co_return ensure_step{ensure_status::blocked, "all places are in use"};
+    }
+    const adapter_name victim = *unload;
+    const order_result ordered =
+        co_await s.link.order(order_action::unload, victim, request.upstream(), seen);
+    if (ordered == order_result::accepted) {
+        // It is in use and goes when its runs end; until then it is not ordered away again.
+        s.leases.asked[victim] = runtime::boot_now();
+        co_return ensure_step{ensure_status::blocked, "an adapter in use must go first"};
+    }
+    co_return ensure_step{};
+}
+
+// One order at the most towards the adapter's presence.
 asio::awaitable<ensure_step> advance(shared_state& s, const rpc::ensure_adapter_request& request) {
     const adapter_name wanted{request.model(), request.adapter()};
-    ensure_step step;
     const std::optional<engine_report> seen = co_await s.link.report();
     if (!seen) {
-        step.impossible = true;
-        step.reason = "the engine does not answer: " + s.link.failure();
-        co_return step;
+        co_return ensure_step{ensure_status::unreachable,
+                              "the engine does not answer: " + s.link.failure()};
     }
     if (is_present(*seen, wanted)) {
-        step.present = true;
-        co_return step;
+        co_return ensure_step{ensure_status::present, ""};
     }
     if (is_incoming(*seen, wanted)) {
-        co_return step;
+        co_return ensure_step{};
     }
     if (!seen->models.contains(wanted.first)) {
-        step.impossible = true;
-        step.reason = "the model is not there";
-        co_return step;
+        co_return ensure_step{ensure_status::model_absent, "the model is not there"};
     }
-    engine_report now_seen = *seen;
-    if (places_taken(*seen) >= request.max_adapters()) {
-        const auto unload =
-            to_unload(*seen, s.leases, s.settings.adapter_lease, runtime::boot_now());
-        if (!unload) {
-            step.impossible = true;
-            step.reason = "all places are in use";
-            co_return step;
-        }
-        const adapter_name victim = *unload;
-        (void)co_await s.link.order(order_action::unload, victim, request.upstream(), now_seen);
-        co_return step;
+    if (seen->busy) {
+        co_return ensure_step{ensure_status::blocked, "an order about a model is under way"};
+    }
+    const engine_report basis = *seen;
+    if (places_taken(basis) >= request.max_adapters()) {
+        co_return co_await make_room(s, request, basis);
     }
     const order_result ordered =
-        co_await s.link.order(order_action::load, wanted, request.upstream(), now_seen);
+        co_await s.link.order(order_action::load, wanted, request.upstream(), basis);
     if (ordered == order_result::refused) {
-        step.impossible = true;
-        step.reason = "refused: " + s.link.failure();
+        co_return ensure_step{ensure_status::blocked, "refused: " + s.link.failure()};
     }
-    step.present = ordered == order_result::holds_already;
-    co_return step;
+    const bool there = ordered == order_result::holds_already;
+    co_return ensure_step{there ? ensure_status::present : ensure_status::arriving, ""};
 }
 
 asio::awaitable<void> ensure(shared_state& s, const rpc::ensure_adapter_request& request,
                              rpc::ensure_adapter_reply& reply, grpc::ServerUnaryReactor* reactor) {
     const time_point until = runtime::boot_now() + std::chrono::milliseconds(request.timeout_ms());
-    s.leases.asked[{request.model(), request.adapter()}] = runtime::boot_now();
+    const adapter_name wanted{request.model(), request.adapter()};
     co_await s.link.enter();
-    std::string reason = "out of time";
+    ensure_step step{ensure_status::blocked, "out of time"};
     while (runtime::boot_now() < until) {
-        const ensure_step step = co_await advance(s, request);
-        if (step.present) {
-            reply.set_present(true);
-            break;
-        }
-        if (step.impossible) {
-            reason = step.reason;
+        step = co_await advance(s, request);
+        if (step.status != ensure_status::arriving) {
             break;
         }
         co_await runtime::sleep_for(arrival_check);
     }
     s.link.leave();
-    if (reply.present()) {
+    reply.set_model_present(step.status != ensure_status::model_absent);
+    if (step.status == ensure_status::present) {
+        s.leases.asked[wanted] = runtime::boot_now();
+        reply.set_present(true);
         // Gateways let their own lease end first.
         reply.set_lease_ms(
             static_cast<std::uint32_t>(to_milliseconds(s.settings.adapter_lease * 3 / 4)));
     } else {
-        s.leases.asked.erase({request.model(), request.adapter()});
-        reply.set_message(reason);
-        log_event(severity::info, event::adapter_refused,
-                  {{"model", request.model()}, {"adapter", request.adapter()}, {"reason", reason}});
+        reply.set_blocked_ms(static_cast<std::uint32_t>(to_milliseconds(blocked_guess)));
+        reply.set_message(step.reason);
+        log_event(
+            severity::info, event::adapter_refused,
+            {{"model", request.model()}, {"adapter", request.adapter()}, {"reason", step.reason}});
     }
     reactor->Finish(grpc::Status::OK);
 }
