Requests log their first event, longest pause and what was expected of them

Conclusion: prompts of 9,190 tokens read in pieces between the tokens of short streams stretch those; and long prompts queue up at some engines.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -161,6 +161,15 @@
     return header_in(e.headers(), "Content-Type").substr(0, 17) == "text/event-stream";
 }
 
+void note_event(request_state& r, time_point now) {
+    if (r.last_event_at == time_point{}) {
+        r.first_event = now - r.request.arrived;
+    } else {
+        r.longest_gap = std::max(r.longest_gap, now - r.last_event_at);
+    }
+    r.last_event_at = now;
+}
+
 // Passes events on as they arrive.
 asio::awaitable<attempt_end> pass_stream(session& caller, request_state& r,
                                          std::shared_ptr<exchange> e, in_flight_guard& guard,
@@ -183,6 +192,7 @@
         if (events.empty()) {
             continue;
         }
+        note_event(r, runtime::boot_now());
         if (first) {
             first = false;
             guard.prompt_read();
@@ -323,6 +333,8 @@
     dispatch::note_send(c.budgets[r.service], c.settings.budget, !r.tried.empty(),
                         runtime::boot_now());
     r.tried.push_back(id);
+    r.expected_ms = to.expected_ms;
+    r.read_tokens = to.read_tokens;
     if (dispatch::upstream* u = guard.find()) {
         dispatch::note_kept(*u, r.facts.needs, r.kv_tokens);
     }
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -301,6 +301,13 @@
                {"upstream", r->tried.empty() ? "" : r->tried.back()},
                {"sends", static_cast<std::uint64_t>(r->tried.size())},
                {"took_ms", to_milliseconds(took)},
+               {"first_event_ms", to_milliseconds(r->first_event)},
+               {"longest_gap_ms", to_milliseconds(r->longest_gap)},
+               {"prompt_tokens", r->facts.needs.prompt_tokens},
+               {"read_tokens", r->read_tokens},
+               {"expected_ms", r->expected_ms},
+               {"model", r->facts.needs.model},
+               {"adapter", r->facts.needs.adapter},
                {"caller_left", caller.caller_left() ? "yes" : "no"}});
 }
 
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -33,6 +33,13 @@
     // Of a stream that has begun towards the caller.
     bool head_sent = false;
     event_splitter events;
+    // From the request's arrival to the first event, and the longest pause after it.
+    duration first_event{};
+    duration longest_gap{};
+    time_point last_event_at{};
+    // What the last choice expected.
+    double expected_ms = 0;
+    std::uint32_t read_tokens = 0;
 
     std::shared_ptr<exchange> current;
     std::string last_failure;
