Engines apart for long and for short prompts

Cause: pauses of short streams over 250 ms beside long prompts read in pieces (measured before). Change: each service's engines are divided by a hash of their address, the same at every gateway and planner without messages; the planner keeps copies for each kind; misplaced work has a price.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dispatch/roles.h"
 #include "placement/moves.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -77,49 +78,93 @@
 }
 
 void update_demand(site_state& site, time_point now) {
-    std::map<std::string, double> offered;
-    std::set<std::string> unplaced;
+    std::map<planned_kind, double> offered;
+    std::set<planned_kind> unplaced;
     for (const auto& [gateway, record] : site.demand) {
         if (now - record.heard > report_patience) {
             continue;
         }
         const double window = std::max<double>(1, record.latest.window_ms());
         for (const rpc::model_load& load : record.latest.models()) {
+            const planned_kind kind{load.model(), load.long_prompts()};
             const double ms = prompt_token_ms * static_cast<double>(load.prompt_tokens()) +
                               output_token_ms * static_cast<double>(load.output_tokens());
-            offered[load.model()] += ms / window;
+            offered[kind] += ms / window;
             if (load.unplaced() > 0) {
-                unplaced.insert(load.model());
+                unplaced.insert(kind);
             }
         }
     }
-    for (const auto& [model, share] : offered) {
-        site.smoothed.try_emplace(model, 0.0);
+    for (const auto& [kind, share] : offered) {
+        site.smoothed.try_emplace(kind, 0.0);
     }
-    for (auto& [model, share] : site.smoothed) {
-        const auto found = offered.find(model);
+    for (auto& [kind, share] : site.smoothed) {
+        const auto found = offered.find(kind);
         const double fresh = found == offered.end() ? 0 : found->second;
         share += (fresh > share ? rise : fall) * (fresh - share);
     }
     site.unplaced = std::move(unplaced);
 }
 
-placement::fleet_state fleet_of(const instance& i, const deployment::service_spec& service,
-                                time_point now) {
-    placement::fleet_state f;
-    for (const deployment::model_spec& m : service.engine.models) {
-        f.models[m.name] = {m.weights_mb};
-        const auto found = i.site->smoothed.find(m.name);
-        placement::model_demand& d = f.demand[m.name];
-        d.engines =
-            found == i.site->smoothed.end() || found->second < least_demand ? 0 : found->second;
-        d.unplaced = i.site->unplaced.contains(m.name);
-    }
+// The engines of one service; divided ones are two fleets.
+struct fleets {
+    placement::fleet_state all;
+    placement::fleet_state for_short;
+    placement::fleet_state for_long;
+    bool divided = false;
+};
+
+bool held_in(const placement::fleet_state& f, const std::string& model) {
+    return std::any_of(f.engines.begin(), f.engines.end(),
+                       [&](const auto& e) { return e.accepting && e.models.contains(model); });
+}
+
+placement::model_demand demand_for(const instance& i, const std::string& model, bool long_prompts) {
+    placement::model_demand d;
+    const planned_kind kind{model, long_prompts};
+    const auto found = i.site->smoothed.find(kind);
+    const bool known = found != i.site->smoothed.end();
+    d.engines = known && found->second >= least_demand ? found->second : 0;
+    d.unplaced = i.site->unplaced.contains(kind);
+    // Every model may be asked for with a long prompt; with a short one, those that ever were.
+    d.expected = long_prompts || known;
+    return d;
+}
+
+void add_demand(const instance& i, fleets& f, const std::string& model) {
+    placement::model_demand brief = demand_for(i, model, false);
+    placement::model_demand lengthy = demand_for(i, model, true);
+    placement::model_demand& both = f.all.demand[model];
+    both.engines = brief.engines + lengthy.engines;
+    both.unplaced = brief.unplaced || lengthy.unplaced;
+    brief.elsewhere = held_in(f.for_long, model);
+    lengthy.elsewhere = held_in(f.for_short, model);
+    f.for_short.demand[model] = brief;
+    f.for_long.demand[model] = lengthy;
+}
+
+fleets fleets_of(const instance& i, const deployment::service_spec& service, time_point now) {
+    fleets f;
     const duration silence = i.settings.site->announce_interval * missed_announcements;
+    std::vector<dispatch::engine_place> places;
     for (const auto& [id, e] : i.site->upstreams.upstreams) {
         if (e.latest.service() == service.name && e.latest.state() != schema::announced_gone) {
-            f.engines.push_back(engine_of(e, service.engine, now - e.heard < silence));
+            f.all.engines.push_back(engine_of(e, service.engine, now - e.heard < silence));
+            if (e.latest.state() == schema::announced_ready) {
+                places.push_back({e.latest.address(), e.latest.failure_domain()});
+            }
+        }
+    }
+    const std::set<std::string> chosen = dispatch::short_prompt_engines(places, {});
+    f.divided = !chosen.empty();
+    for (const placement::engine_state& e : f.all.engines) {
+        (chosen.contains(e.address) ? f.for_short : f.for_long).engines.push_back(e);
+    }
+    for (const deployment::model_spec& m : service.engine.models) {
+        for (placement::fleet_state* fleet : {&f.all, &f.for_short, &f.for_long}) {
+            fleet->models[m.name] = {m.weights_mb};
         }
+        add_demand(i, f, m.name);
     }
     return f;
 }
@@ -177,10 +222,8 @@
     }
 }
 
-void plan_service(instance& i, const deployment::service_spec& service, time_point now) {
-    const placement::fleet_state f = fleet_of(i, service, now);
-    const placement::move_settings s = settings_for(i, service.engine);
-    placement::settle(i.site->moves, f, s, now);
+void order_moves(instance& i, const placement::fleet_state& f, const placement::move_settings& s,
+                 time_point now) {
     for (const placement::move& m : placement::next_moves(f, i.site->moves, s, now)) {
         const auto e =
             std::find_if(f.engines.begin(), f.engines.end(),
@@ -196,6 +239,18 @@
     }
 }
 
+void plan_service(instance& i, const deployment::service_spec& service, time_point now) {
+    const fleets f = fleets_of(i, service, now);
+    const placement::move_settings s = settings_for(i, service.engine);
+    placement::settle(i.site->moves, f.all, s, now);
+    if (!f.divided) {
+        order_moves(i, f.all, s, now);
+        return;
+    }
+    order_moves(i, f.for_short, s, now);
+    order_moves(i, f.for_long, s, now);
+}
+
 boost::asio::awaitable<void> keep_planning(instance& i) {
     std::uint64_t planned_term = 0;
     time_point last_round = runtime::boot_now();
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -24,6 +24,14 @@
     std::uint64_t known_version = 0;
 };
 
+// Demand of a model, apart for long and short prompts.
+struct planned_kind {
+    std::string model;
+    bool long_prompts = false;
+
+    auto operator<=>(const planned_kind&) const = default;
+};
+
 struct demand_record {
     rpc::demand_report latest;
     time_point heard{};
@@ -53,8 +61,8 @@
 
     // --- Of the planner
     // Share of engines that each model needs, smoothed, and models that requests found nowhere.
-    std::map<std::string, double> smoothed;
-    std::set<std::string> unplaced;
+    std::map<planned_kind, double> smoothed;
+    std::set<planned_kind> unplaced;
     placement::move_memory moves;
     // By address.
     std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/name_table.h"
+#include "dispatch/roles.h"
 #include "dispatch/upstream.h"
 
 namespace burdockdeck::dispatch {
@@ -19,6 +20,11 @@
     double batch_cost_ms = 1.5;
     // Price of leaving the caller's failure domain, in milliseconds.
     double domain_cost_ms = 12.0;
+    // Price of a long prompt where short streams run, and of a short one where long prompts are
+    // read, in milliseconds.
+    double long_misplaced_ms = 400.0;
+    double short_misplaced_ms = 150.0;
+    role_settings roles;
     // Time that a load of an adapter adds, in milliseconds.
     double adapter_cost_ms = 25.0;
     // Price of having an adapter in one more place, in milliseconds.
@@ -68,6 +74,9 @@
 
 // --- Queries
 
+// True if the prompt of `w` is long enough to hold up others.
+[[nodiscard]] bool is_long(const work& w, const role_settings& s);
+
 [[nodiscard]] obstacle obstacle_to(const upstream& u, const request_view& r, time_point now);
 // The expected time to the first byte at `u`, in milliseconds.
 [[nodiscard]] double expected_ms(const upstream& u, const request_view& r, const choice_settings& s,
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -47,6 +47,8 @@
     std::map<std::string, time_point> adapters;
 };
 
+enum class engine_role { any, short_prompts, long_prompts };
+
 // Outcomes of late, smoothed. `errors` is a share in [0, 1]; `slowness` is the observed time over
 // the expected one, 1 if as expected.
 struct health_record {
@@ -70,6 +72,8 @@
     time_point leaves_at = time_point::max();
     time_point cold_until{};
     std::map<std::string, held_model, std::less<>> models;
+    // What it is kept for, where the engines of its service are divided.
+    engine_role role = engine_role::any;
     // Until then it loads no adapter that it does not hold.
     time_point adapters_blocked_until{};
 
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/choice.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 #include "base/checksum.h"
@@ -59,12 +60,24 @@
     return sum;
 }
 
+double misplaced_ms(const upstream& u, const work& w, const choice_settings& s) {
+    const bool long_prompt = is_long(w, s.roles);
+    if (u.role == engine_role::short_prompts && long_prompt) {
+        return s.long_misplaced_ms;
+    }
+    return u.role == engine_role::long_prompts && !long_prompt ? s.short_misplaced_ms : 0;
+}
+
 bool ejected(const upstream& u, time_point now) {
     return u.health.ejected_until > now;
 }
 
 }  // namespace
 
+bool is_long(const work& w, const role_settings& s) {
+    return w.prompt_tokens >= s.long_prompt_tokens;
+}
+
 obstacle obstacle_to(const upstream& u, const request_view& r, time_point now) {
     if (!u.accepting || u.service != r.service) {
         return obstacle::not_accepting;
@@ -126,13 +139,17 @@
         return std::nullopt;
     }
     const std::uint64_t key = affinity_key(*r.needs);
-    const upstream* preferred = key == 0 ? nullptr : preferred_for(key, open);
+    std::vector<upstream*> fitting;
+    std::copy_if(open.begin(), open.end(), std::back_inserter(fitting),
+                 [&](const upstream* u) { return misplaced_ms(*u, *r.needs, s) == 0; });
+    const upstream* preferred =
+        key == 0 ? nullptr : preferred_for(key, fitting.empty() ? open : fitting);
     const double shared_ms = shared_tokens(*r.needs) / s.read_tokens_per_ms;
     std::uniform_real_distribution<double> jitter(0.0, 1.0);
     choice best;
     best.expected_ms = std::numeric_limits<double>::max();
     for (upstream* u : open) {
-        double ms = expected_ms(*u, r, s, now) + jitter(rng);
+        double ms = expected_ms(*u, r, s, now) + misplaced_ms(*u, *r.needs, s) + jitter(rng);
         const std::uint32_t unread = tokens_to_read(*u, *r.needs);
         const bool unknown_here = unread >= r.needs->prompt_tokens;
         if (!r.needs->adapter.empty()) {
--- /dev/null
+++ b/libs/dispatch/src/roles.cpp
@@ -0,0 +1,38 @@
+// Ranks by a hash of the address, one failure domain after the other.
+#include "dispatch/roles.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+
+#include "base/checksum.h"
+
+namespace burdockdeck::dispatch {
+
+std::set<std::string> short_prompt_engines(const std::vector<engine_place>& all,
+                                           const role_settings& s) {
+    std::set<std::string> chosen;
+    if (all.size() < s.fewest_engines || s.short_share <= 0) {
+        return chosen;
+    }
+    std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>> ranked;
+    for (const engine_place& e : all) {
+        ranked[e.failure_domain].emplace_back(checksum_of(e.address), e.address);
+    }
+    for (auto& [domain, engines] : ranked) {
+        std::sort(engines.begin(), engines.end());
+    }
+    const auto wanted = static_cast<std::size_t>(
+        std::max(1.0, std::round(s.short_share * static_cast<double>(all.size()))));
+    for (std::size_t row = 0; chosen.size() < wanted; ++row) {
+        for (const auto& [domain, engines] : ranked) {
+            if (row < engines.size() && chosen.size() < wanted) {
+                chosen.insert(engines[row].second);
+            }
+        }
+    }
+    return chosen;
+}
+
+}  // namespace burdockdeck::dispatch
--- /dev/null
+++ b/libs/dispatch/tests/test_roles.cpp
@@ -0,0 +1,105 @@
+// Tests of the division of engines for short and long prompts.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include "dispatch/choice.h"
+
+using namespace burdockdeck;
+using namespace burdockdeck::dispatch;
+
+namespace {
+
+std::vector<engine_place> places(std::size_t n) {
+    std::vector<engine_place> out;
+    for (std::size_t i = 0; i < n; ++i) {
+        out.push_back({"10.0.0." + std::to_string(i) + ":80", "d" + std::to_string(i % 3)});
+    }
+    return out;
+}
+
+}  // namespace
+
+TEST_CASE("everyone divides the same engines alike, in whatever order they are known") {
+    std::vector<engine_place> all = places(12);
+    const std::set<std::string> chosen = short_prompt_engines(all, {});
+    CHECK(chosen.size() == 4);
+    std::mt19937 rng(4);
+    for (int i = 0; i < 20; ++i) {
+        std::shuffle(all.begin(), all.end(), rng);
+        CHECK(short_prompt_engines(all, {}) == chosen);
+    }
+}
+
+TEST_CASE("the division is spread over failure domains") {
+    std::map<std::string, int> in_domain;
+    const std::vector<engine_place> all = places(12);
+    for (const std::string& address : short_prompt_engines(all, {})) {
+        for (const engine_place& e : all) {
+            in_domain[e.failure_domain] += e.address == address ? 1 : 0;
+        }
+    }
+    for (const auto& [domain, count] : in_domain) {
+        CHECK(count >= 1);
+        CHECK(count <= 2);
+    }
+}
+
+TEST_CASE("few engines are not divided") {
+    CHECK(short_prompt_engines(places(3), {}).empty());
+}
+
+TEST_CASE("an engine that leaves changes little") {
+    const std::vector<engine_place> all = places(12);
+    const std::set<std::string> before = short_prompt_engines(all, {});
+    for (std::size_t gone = 0; gone < all.size(); ++gone) {
+        std::vector<engine_place> rest = all;
+        rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(gone));
+        const std::set<std::string> after = short_prompt_engines(rest, {});
+        const auto changed = std::count_if(after.begin(), after.end(),
+                                           [&](const auto& a) { return before.count(a) == 0; });
+        CHECK(changed <= 2);
+    }
+}
+
+TEST_CASE("pattern: a clerk's short stream beside long prompts") {
+    // Both models of work find an engine of either role free: each goes to its own.
+    const time_point now{std::chrono::seconds(5)};
+    std::mt19937_64 rng(8);
+    std::vector<upstream> engines(6);
+    std::vector<upstream*> all;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        engines[i].id = "e" + std::to_string(i);
+        engines[i].service = "maps";
+        engines[i].slots = 64;
+        engines[i].models["m"] = {};
+        engines[i].role = i < 2 ? engine_role::short_prompts : engine_role::long_prompts;
+        all.push_back(&engines[i]);
+    }
+    for (std::uint64_t n = 1; n <= 50; ++n) {
+        work w;
+        w.model = "m";
+        w.prompt_tokens = n % 2 == 0 ? 9190 : 826;
+        w.parts = {{1, 100}, {n, 100}, {n + 1000, 100}};
+        request_view v;
+        v.needs = &w;
+        v.service = "maps";
+        const auto chosen = choose(all, v, {}, now, rng);
+        const bool short_engine = chosen->to->role == engine_role::short_prompts;
+        CHECK(short_engine == (w.prompt_tokens < 2000));
+    }
+    // Without any of its own, work takes what there is.
+    for (upstream& u : engines) {
+        u.accepting = u.role == engine_role::long_prompts;
+    }
+    work w;
+    w.model = "m";
+    w.prompt_tokens = 826;
+    request_view v;
+    v.needs = &w;
+    v.service = "maps";
+    CHECK(choose(all, v, {}, now, rng));
+}
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -27,22 +27,20 @@
 struct in_flight_guard {
     core& c;
     std::string id;
-    std::string service;
-    std::string model;
+    demand_key key;
     std::uint32_t unread;
     std::uint32_t kv;
 
     in_flight_guard(core& cc, const dispatch::choice& to, const request_state& r)
         : c(cc),
           id(to.to->id),
-          service(r.service),
-          model(r.facts.needs.model),
+          key(key_of(cc, r)),
           unread(to.read_tokens),
           kv(r.facts.needs.prompt_tokens + r.facts.needs.output_tokens) {
         ++to.to->in_flight;
         to.to->unread_tokens += unread;
         to.to->kv_tokens += kv;
-        ++c.demand[{service, model}].in_flight;
+        ++c.demand[key].in_flight;
     }
     in_flight_guard(const in_flight_guard&) = delete;
     in_flight_guard& operator=(const in_flight_guard&) = delete;
@@ -59,7 +57,7 @@
             u->in_flight -= u->in_flight > 0 ? 1 : 0;
             u->kv_tokens -= std::min<std::uint64_t>(u->kv_tokens, kv);
         }
-        --c.demand[{service, model}].in_flight;
+        --c.demand[key].in_flight;
     }
     [[nodiscard]] dispatch::upstream* find() const {
         const auto found = c.view.upstreams.find(id);
@@ -309,6 +307,11 @@
 
 }  // namespace
 
+demand_key key_of(const core& c, const request_state& r) {
+    return {r.service, r.facts.needs.model,
+            dispatch::is_long(r.facts.needs, c.settings.choice.roles)};
+}
+
 duration time_left(const request_state& r, time_point now) {
     return r.give_up - now;
 }
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -24,6 +24,14 @@
 
 class session;
 
+struct demand_key {
+    std::string service;
+    std::string model;
+    bool long_prompts = false;
+
+    auto operator<=>(const demand_key&) const = default;
+};
+
 struct model_counts {
     std::uint32_t arrivals = 0;
     std::uint64_t prompt_tokens = 0;
@@ -48,8 +56,7 @@
     std::map<std::string, connection_pool> pools;
     // By service.
     std::map<std::string, dispatch::retry_budget> budgets;
-    // By service and model.
-    std::map<std::pair<std::string, std::string>, model_counts> demand;
+    std::map<demand_key, model_counts> demand;
     // By address of a sidecar.
     std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
     // Timers of requests that wait for an upstream; cancelled whenever the view changes.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -97,7 +97,7 @@
         }
         if (!counted) {
             counted = true;
-            ++c.demand[{r.service, r.facts.needs.model}].unplaced;
+            ++c.demand[key_of(c, r)].unplaced;
         }
         if (now - began >= patience || c.draining || !r.tried.empty()) {
             break;
@@ -254,7 +254,7 @@
 }
 
 void count_demand(core& c, const request_state& r) {
-    model_counts& counts = c.demand[{r.service, r.facts.needs.model}];
+    model_counts& counts = c.demand[key_of(c, r)];
     ++counts.arrivals;
     counts.prompt_tokens += r.facts.needs.prompt_tokens;
     counts.output_tokens += r.facts.needs.output_tokens;
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -55,6 +55,8 @@
     unknown,
 };
 
+// What its demand is counted under.
+[[nodiscard]] demand_key key_of(const core& c, const request_state& r);
 [[nodiscard]] duration time_left(const request_state& r, time_point now);
 
 // One send of `r` to `to`, up to its end.
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -160,6 +160,7 @@
         }
         c.view.gateways = std::max(1U, update.gateways());
         if (changed) {
+            assign_roles(c.view, c.settings.choice.roles);
             drop_pools(c);
             const auto waiting = c.waiting;
             for (asio::steady_timer* t : waiting) {
@@ -174,12 +175,13 @@
         report.set_window_ms(
             static_cast<std::uint32_t>(to_milliseconds(upkeep_interval) * upkeeps_per_report));
         for (auto& [key, counts] : shared.demand) {
-            if (key.second.empty() || (counts.arrivals == 0 && counts.in_flight == 0)) {
+            if (key.model.empty() || (counts.arrivals == 0 && counts.in_flight == 0)) {
                 continue;
             }
             rpc::model_load& load = *report.add_models();
-            load.set_service(key.first);
-            load.set_model(key.second);
+            load.set_service(key.service);
+            load.set_model(key.model);
+            load.set_long_prompts(key.long_prompts);
             load.set_arrivals(counts.arrivals);
             load.set_prompt_tokens(counts.prompt_tokens);
             load.set_output_tokens(counts.output_tokens);
--- a/libs/gateway/src/settings.cpp
+++ b/libs/gateway/src/settings.cpp
@@ -17,6 +17,9 @@
     s.adapter_cost_ms = choice.get_number("adapter_cost_ms", 0, 10'000, s.adapter_cost_ms);
     s.plain_call_ms = choice.get_number("plain_call_ms", 0.01, 60'000, s.plain_call_ms);
     s.max_ejected_share = choice.get_number("max_ejected_share", 0, 1, s.max_ejected_share);
+    s.roles.long_prompt_tokens = static_cast<std::uint32_t>(
+        choice.get_integer("long_prompt_tokens", 1, 1'000'000'000, s.roles.long_prompt_tokens));
+    s.roles.short_share = choice.get_number("short_share", 0, 1, s.roles.short_share);
     (void)choice.finish();
     return s;
 }
--- a/libs/gateway/src/site_view.cpp
+++ b/libs/gateway/src/site_view.cpp
@@ -30,6 +30,26 @@
     return out;
 }
 
+void assign_roles(site_view& v, const dispatch::role_settings& s) {
+    for (const deployment::service_spec& service : v.current.services) {
+        if (service.engine.slots == 0) {
+            continue;
+        }
+        std::vector<dispatch::engine_place> places;
+        for (const dispatch::upstream* u : upstreams_of(v, service.name)) {
+            if (u->accepting) {
+                places.push_back({u->address, u->failure_domain});
+            }
+        }
+        const std::set<std::string> chosen = dispatch::short_prompt_engines(places, s);
+        for (dispatch::upstream* u : upstreams_of(v, service.name)) {
+            u->role = chosen.empty()                ? dispatch::engine_role::any
+                      : chosen.contains(u->address) ? dispatch::engine_role::short_prompts
+                                                    : dispatch::engine_role::long_prompts;
+        }
+    }
+}
+
 bool take_announcement(site_view& v, const schema::upstream_announcement& a, time_point now) {
     const std::pair order{a.born_ms(), a.sequence()};
     const auto known = v.orders.find(a.id());
--- a/libs/gateway/src/site_view.h
+++ b/libs/gateway/src/site_view.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "deployment/deployment.h"
+#include "dispatch/roles.h"
 #include "dispatch/upstream.h"
 #include "site.pb.h"
 
@@ -27,6 +28,8 @@
 
 // --- Commands
 
+// Divides the engines of each service again; call it after announcements and deployments changed.
+void assign_roles(site_view& v, const dispatch::role_settings& s);
 // Takes over an announcement unless a newer one is known. True if anything changed.
 bool take_announcement(site_view& v, const schema::upstream_announcement& a, time_point now);
 
--- a/libs/placement/include/placement/moves.h
+++ b/libs/placement/include/placement/moves.h
@@ -77,6 +77,10 @@
 struct model_demand {
     double engines = 0;
     bool unplaced = false;
+    // It should be here before anyone asks for it.
+    bool expected = true;
+    // Engines outside this fleet hold it too: it stays reachable without a copy here.
+    bool elsewhere = false;
 };
 
 struct fleet_state {
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -11,6 +11,10 @@
 // Pressure of a model that requests found nowhere, and of a declared one that nobody asked for.
 constexpr double unplaced_pressure = 1000;
 constexpr double absent_pressure = 1.0;
+// The same while another fleet holds it.
+constexpr double absent_here_pressure = 0.5;
+// Demand under this share of an engine does not keep a last copy from going.
+constexpr double idle_demand = 0.02;
 // Loads that a new planner may begin in its first window.
 constexpr std::size_t loads_of_new_planner = 3;
 
@@ -58,7 +62,13 @@
 double pressure(const round& r, const std::string& model, std::size_t copies) {
     const model_demand d = demand_of(r.f, model);
     if (copies == 0) {
-        return d.unplaced || d.engines > 0 ? unplaced_pressure + d.engines : absent_pressure;
+        if (d.unplaced || d.engines > 0) {
+            return unplaced_pressure + d.engines;
+        }
+        if (!d.expected) {
+            return 0;
+        }
+        return d.elsewhere ? absent_here_pressure : absent_pressure;
     }
     return d.engines / static_cast<double>(copies);
 }
@@ -89,10 +99,11 @@
         double loss = pressure(r, model, copies > 1 ? copies - 1 : 1);
         if (copies <= 1) {
             // The last copy goes only for demand that has none, and only while nobody asks for it.
-            if (wanted < unplaced_pressure || d.engines > 0.02) {
+            const bool needed = d.engines > idle_demand || (d.expected && !d.elsewhere);
+            if (needed && (wanted < unplaced_pressure || d.engines > idle_demand)) {
                 continue;
             }
-            loss += absent_pressure;
+            loss += d.elsewhere ? 0 : absent_pressure;
         }
         if (loss < least) {
             least = loss;
