Beacons of engine load, learnt speeds of models, work counted in time

Cause: eight gateways each saw an eighth of an engine's queue; models read prompts up to nine times faster than others, so tokens were the wrong measure of work; first copies were given up before anyone had asked. What binds is the placement: the hottest model has 2 or 3 copies while rare ones pin the rest.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -26,10 +26,14 @@
 // Demand rises with this share of each report, and falls more slowly.
 constexpr double rise = 0.35;
 constexpr double fall = 0.06;
-// Engine time of a prompt token and of an output token, in milliseconds; prompt tokens are partly
-// kept already.
-constexpr double prompt_token_ms = 0.5 / 38.0;
-constexpr double output_token_ms = 0.1;
+// Prompt tokens that an engine reads in a millisecond while a model's speed is not known.
+constexpr double usual_tokens_per_ms = 38;
+// Part of a prompt that is not kept yet, and prompt tokens that cost as much as one output token.
+constexpr double unkept_share = 0.5;
+constexpr double output_weight = 4;
+// Until demand has been seen for this long, each copy found stands for some.
+constexpr duration prior_time = std::chrono::seconds(4);
+constexpr double prior_per_copy = 0.18;
 // Demand below this share of an engine is none.
 constexpr double least_demand = 0.003;
 
@@ -87,14 +91,23 @@
         const double window = std::max<double>(1, record.latest.window_ms());
         for (const rpc::model_load& load : record.latest.models()) {
             const planned_kind kind{load.model(), load.long_prompts()};
-            const double ms = prompt_token_ms * static_cast<double>(load.prompt_tokens()) +
-                              output_token_ms * static_cast<double>(load.output_tokens());
+            if (load.tokens_per_ms() > 0) {
+                site.speeds[load.model()] = load.tokens_per_ms();
+            }
+            const auto learnt = site.speeds.find(load.model());
+            const double speed = learnt == site.speeds.end() ? usual_tokens_per_ms : learnt->second;
+            const double ms = (unkept_share * static_cast<double>(load.prompt_tokens()) +
+                               output_weight * static_cast<double>(load.output_tokens())) /
+                              speed;
             offered[kind] += ms / window;
             if (load.unplaced() > 0) {
                 unplaced.insert(kind);
             }
         }
     }
+    if (!offered.empty() && site.demand_since == time_point{}) {
+        site.demand_since = now;
+    }
     for (const auto& [kind, share] : offered) {
         site.smoothed.try_emplace(kind, 0.0);
     }
@@ -119,21 +132,32 @@
                        [&](const auto& e) { return e.accepting && e.models.contains(model); });
 }
 
-placement::model_demand demand_for(const instance& i, const std::string& model, bool long_prompts) {
+std::size_t copies_in(const placement::fleet_state& f, const std::string& model) {
+    return static_cast<std::size_t>(
+        std::count_if(f.engines.begin(), f.engines.end(),
+                      [&](const auto& e) { return e.models.contains(model); }));
+}
+
+placement::model_demand demand_for(const instance& i, const placement::fleet_state& f,
+                                   const std::string& model, bool long_prompts, time_point now) {
     placement::model_demand d;
     const planned_kind kind{model, long_prompts};
     const auto found = i.site->smoothed.find(kind);
     const bool known = found != i.site->smoothed.end();
     d.engines = known && found->second >= least_demand ? found->second : 0;
+    if (i.site->demand_since == time_point{} || now - i.site->demand_since < prior_time) {
+        // Nobody has asked for anything yet: who placed the copies had a reason for their number.
+        d.engines = std::max(d.engines, prior_per_copy * static_cast<double>(copies_in(f, model)));
+    }
     d.unplaced = i.site->unplaced.contains(kind);
     // Every model may be asked for with a long prompt; with a short one, those that ever were.
     d.expected = long_prompts || known;
     return d;
 }
 
-void add_demand(const instance& i, fleets& f, const std::string& model) {
-    placement::model_demand brief = demand_for(i, model, false);
-    placement::model_demand lengthy = demand_for(i, model, true);
+void add_demand(const instance& i, fleets& f, const std::string& model, time_point now) {
+    placement::model_demand brief = demand_for(i, f.for_short, model, false, now);
+    placement::model_demand lengthy = demand_for(i, f.for_long, model, true, now);
     placement::model_demand& both = f.all.demand[model];
     both.engines = brief.engines + lengthy.engines;
     both.unplaced = brief.unplaced || lengthy.unplaced;
@@ -164,7 +188,7 @@
         for (placement::fleet_state* fleet : {&f.all, &f.for_short, &f.for_long}) {
             fleet->models[m.name] = {m.weights_mb};
         }
-        add_demand(i, f, m.name);
+        add_demand(i, f, m.name, now);
     }
     return f;
 }
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -62,7 +62,11 @@
     // --- Of the planner
     // Share of engines that each model needs, smoothed, and models that requests found nowhere.
     std::map<planned_kind, double> smoothed;
+    // Prompt tokens read in a millisecond, as gateways learnt it.
+    std::map<std::string, double> speeds;
     std::set<planned_kind> unplaced;
+    // When gateways first reported any; the zero time before.
+    time_point demand_since{};
     placement::move_memory moves;
     // By address.
     std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -14,7 +14,8 @@
 namespace burdockdeck::dispatch {
 
 struct choice_settings {
-    // Prompt tokens that an engine reads in a millisecond; from the engines' data sheet.
+    // Prompt tokens that an engine reads in a millisecond while a model's own speed is not learnt;
+    // from the engines' data sheet.
     double read_tokens_per_ms = 38.0;
     // Time that each running request adds to the others' steps, in milliseconds.
     double batch_cost_ms = 1.5;
@@ -62,6 +63,8 @@
     std::string_view failure_domain;
     // Ids that this request was sent to already.
     const std::vector<std::string>* tried = nullptr;
+    // Prompt tokens of its model that an engine reads in a millisecond.
+    double tokens_per_ms = 38.0;
 };
 
 struct choice {
@@ -69,6 +72,7 @@
     // True if the adapter has to be loaded first.
     bool needs_adapter = false;
     std::uint32_t read_tokens = 0;
+    double read_ms = 0;
     double expected_ms = 0;
 };
 
--- a/libs/dispatch/include/dispatch/roles.h
+++ b/libs/dispatch/include/dispatch/roles.h
@@ -14,7 +14,7 @@
     // Prompts from this many tokens on are long.
     std::uint32_t long_prompt_tokens = 2000;
     // Share of a service's engines that is kept for short prompts.
-    double short_share = 0.34;
+    double short_share = 0;
     // Fewer engines than this are not divided.
     std::size_t fewest_engines = 4;
 };
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -58,6 +58,16 @@
     time_point ejected_until{};
 };
 
+// What the engine's own side last said of its load; `at` is the time of arrival here.
+struct load_record {
+    time_point at{};
+    std::uint32_t waiting = 0;
+    std::uint32_t reading = 0;
+    std::uint32_t running = 0;
+    // Reading time of what this gateway sent there since, in milliseconds.
+    double sent_since_ms = 0;
+};
+
 // Invariants: id and address never change; an upstream with another `born_ms` is another upstream.
 struct upstream {
     std::string id;
@@ -79,8 +89,12 @@
 
     // Of this gateway's own requests.
     std::uint32_t in_flight = 0;
-    std::uint64_t unread_tokens = 0;
+    // Reading time of prompts that were sent and have made no event yet, in milliseconds.
+    double unread_ms = 0;
     std::uint64_t kv_tokens = 0;
+    // Reading time of a usual request there, smoothed over this gateway's own, in milliseconds.
+    double usual_read_ms = 80;
+    load_record load;
     kept_parts kept;
     health_record health;
 };
@@ -93,8 +107,15 @@
 // shared parts of its prompt for its model; 0 if it shares nothing.
 [[nodiscard]] std::uint64_t affinity_key(const work& w);
 
+// Time that `u` needs to read what it has, in milliseconds, by its own word where that is fresh.
+[[nodiscard]] double backlog_ms(const upstream& u, time_point now);
+// Requests that run at `u`.
+[[nodiscard]] std::uint32_t running_at(const upstream& u, time_point now);
+
 // --- Commands
 
+// Notes a request whose prompt takes `read_ms` to read.
+void note_sent(upstream& u, double read_ms);
 // Notes that `u` reads the parts of `w`; `capacity` is its memory in tokens.
 void note_kept(upstream& u, const work& w, std::uint64_t capacity);
 // Forgets what was kept for `model`, or everything if it is empty.
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -105,9 +105,8 @@
         const double load = static_cast<double>(u.in_flight) / std::max<double>(1, u.slots);
         ms = s.plain_call_ms * (1 + 3 * load);
     } else {
-        ms = static_cast<double>(u.unread_tokens + tokens_to_read(u, *r.needs)) /
-                 s.read_tokens_per_ms +
-             s.batch_cost_ms * u.in_flight;
+        ms = backlog_ms(u, now) + tokens_to_read(u, *r.needs) / r.tokens_per_ms +
+             s.batch_cost_ms * running_at(u, now);
         if (!r.needs->adapter.empty() && !holds_adapter(u, *r.needs, now)) {
             ms += s.adapter_cost_ms;
         }
@@ -144,7 +143,7 @@
                  [&](const upstream* u) { return misplaced_ms(*u, *r.needs, s) == 0; });
     const upstream* preferred =
         key == 0 ? nullptr : preferred_for(key, fitting.empty() ? open : fitting);
-    const double shared_ms = shared_tokens(*r.needs) / s.read_tokens_per_ms;
+    const double shared_ms = shared_tokens(*r.needs) / r.tokens_per_ms;
     std::uniform_real_distribution<double> jitter(0.0, 1.0);
     choice best;
     best.expected_ms = std::numeric_limits<double>::max();
@@ -161,7 +160,7 @@
             ms += 0.5 * shared_ms;
         }
         if (ms < best.expected_ms) {
-            best = {u, false, unread, ms};
+            best = {u, false, unread, unread / r.tokens_per_ms, ms};
         }
     }
     best.needs_adapter = !r.needs->adapter.empty() && !holds_adapter(*best.to, *r.needs, now);
@@ -181,7 +180,7 @@
     }
     upstream* u = open[std::uniform_int_distribution<std::size_t>(0, open.size() - 1)(rng)];
     return choice{u, !r.needs->adapter.empty() && !holds_adapter(*u, *r.needs, now),
-                  tokens_to_read(*u, *r.needs), 0};
+                  tokens_to_read(*u, *r.needs), 0, 0};
 }
 
 void note_outcome(upstream& u, attempt_outcome o, double slowness, time_point now) {
--- a/libs/dispatch/src/upstream.cpp
+++ b/libs/dispatch/src/upstream.cpp
@@ -1,12 +1,20 @@
 // Beliefs about kept prompt parts.
 #include "dispatch/upstream.h"
 
+#include <algorithm>
+
 #include "base/checksum.h"
 
 namespace burdockdeck::dispatch {
 
 namespace {
 
+// What an engine said of itself counts for this long.
+constexpr duration load_valid = std::chrono::milliseconds(400);
+// A prompt that is being read is half read on average.
+constexpr double half_read = 0.6;
+constexpr double usual_smoothing = 0.05;
+
 std::uint64_t seed_of(const work& w) {
     return checksum_of(w.model + "/" + w.adapter);
 }
@@ -63,6 +71,26 @@
     return last_shared;
 }
 
+double backlog_ms(const upstream& u, time_point now) {
+    const duration age = now - u.load.at;
+    if (age > load_valid) {
+        return u.unread_ms;
+    }
+    const double said =
+        (u.load.waiting + half_read * u.load.reading) * u.usual_read_ms + u.load.sent_since_ms;
+    return std::max(0.0, said - 1000 * to_seconds(age));
+}
+
+std::uint32_t running_at(const upstream& u, time_point now) {
+    return now - u.load.at > load_valid ? u.in_flight : u.load.running;
+}
+
+void note_sent(upstream& u, double read_ms) {
+    u.unread_ms += read_ms;
+    u.load.sent_since_ms += read_ms;
+    u.usual_read_ms += usual_smoothing * (read_ms - u.usual_read_ms);
+}
+
 void note_kept(upstream& u, const work& w, std::uint64_t capacity) {
     kept_parts& k = u.kept;
     for_each_key(w, [&](std::uint64_t key, const prompt_part& p) {
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -23,22 +23,25 @@
 // Answers up to this size are read whole before any of them is passed on.
 constexpr std::size_t whole_answer_bytes = 1024 * 1024;
 constexpr unsigned server_error = 500;
+// Shorter prompts say too little of an engine's speed.
+constexpr std::uint32_t least_sample_tokens = 1000;
+constexpr double free_backlog_ms = 4;
 
 struct in_flight_guard {
     core& c;
     std::string id;
     demand_key key;
-    std::uint32_t unread;
+    double unread_ms;
     std::uint32_t kv;
 
     in_flight_guard(core& cc, const dispatch::choice& to, const request_state& r)
         : c(cc),
           id(to.to->id),
           key(key_of(cc, r)),
-          unread(to.read_tokens),
+          unread_ms(to.read_ms),
           kv(r.facts.needs.prompt_tokens + r.facts.needs.output_tokens) {
         ++to.to->in_flight;
-        to.to->unread_tokens += unread;
+        dispatch::note_sent(*to.to, unread_ms);
         to.to->kv_tokens += kv;
         ++c.demand[key].in_flight;
     }
@@ -47,9 +50,9 @@
     // The prompt has been read: the first event is there.
     void prompt_read() {
         if (dispatch::upstream* u = find()) {
-            u->unread_tokens -= std::min<std::uint64_t>(u->unread_tokens, unread);
+            u->unread_ms -= std::min(u->unread_ms, unread_ms);
         }
-        unread = 0;
+        unread_ms = 0;
     }
     ~in_flight_guard() {
         prompt_read();
@@ -168,8 +171,17 @@
     r.last_event_at = now;
 }
 
+// Only prompts whose shared parts were surely kept, at an engine with nothing else to read, tell
+// the speed.
+void learn_speed(core& c, const request_state& r, double first_event_ms) {
+    const bool exact = r.read_tokens < r.facts.needs.prompt_tokens;
+    if (exact && r.read_tokens >= least_sample_tokens && r.free_engine) {
+        dispatch::note_reading(c.speeds, r.facts.needs.model, r.read_tokens, first_event_ms);
+    }
+}
+
 // Passes events on as they arrive.
-asio::awaitable<attempt_end> pass_stream(session& caller, request_state& r,
+asio::awaitable<attempt_end> pass_stream(core& c, session& caller, request_state& r,
                                          std::shared_ptr<exchange> e, in_flight_guard& guard,
                                          time_point sent_at, double expected_ms) {
     event_splitter arrived;
@@ -197,6 +209,7 @@
             const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
             note(guard, attempt_outcome::served,
                  expected_ms > 0 ? took_ms / (expected_ms + 50) : 0);
+            learn_speed(c, r, took_ms);
         }
         if (!r.head_sent) {
             r.head_sent = true;
@@ -320,6 +333,7 @@
                                      dispatch::choice to) {
     const std::string id = to.to->id;
     const std::string address = to.to->address;
+    r.backlog_ms = dispatch::backlog_ms(*to.to, runtime::boot_now());
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
     std::string failure;
@@ -338,6 +352,7 @@
     r.tried.push_back(id);
     r.expected_ms = to.expected_ms;
     r.read_tokens = to.read_tokens;
+    r.free_engine = r.backlog_ms < free_backlog_ms;
     if (dispatch::upstream* u = guard.find()) {
         dispatch::note_kept(*u, r.facts.needs, r.kv_tokens);
     }
@@ -382,7 +397,7 @@
     }
     attempt_end end = attempt_end::finished;
     if (is_stream(*e)) {
-        end = co_await pass_stream(caller, r, e, guard, sent_at, to.expected_ms);
+        end = co_await pass_stream(c, caller, r, e, guard, sent_at, to.expected_ms);
     } else {
         const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
         if (e->status() < server_error) {
--- /dev/null
+++ b/libs/gateway/src/beacon_listener.cpp
@@ -0,0 +1,133 @@
+// Subscriptions out, beacons in, over one socket.
+#include "beacon_listener.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <set>
+
+#include "runtime/clock.h"
+#include "runtime/http.h"
+
+namespace burdockdeck::gateway {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+namespace {
+
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+constexpr duration ask_interval = std::chrono::seconds(1);
+constexpr std::size_t largest_beacon = 8 * 1024;
+// An adapter that a beacon named stays usable this long without a lease.
+constexpr duration named_adapter_time = std::chrono::milliseconds(400);
+
+// An engine that carries out an order about a model loads no adapters meanwhile.
+constexpr duration busy_block = std::chrono::milliseconds(150);
+
+bool take_models(dispatch::upstream& u, const schema::engine_beacon& b, time_point now) {
+    bool changed = u.models.size() != static_cast<std::size_t>(b.models_size());
+    std::map<std::string, dispatch::held_model, std::less<>> models;
+    for (const schema::present_model& m : b.models()) {
+        const auto known = u.models.find(m.name());
+        changed = changed || known == u.models.end();
+        dispatch::held_model held;
+        if (known != u.models.end()) {
+            held.version = known->second.version;
+        }
+        for (const std::string& adapter : m.adapters()) {
+            time_point& until = held.adapters[adapter];
+            until = now + named_adapter_time;
+            if (known != u.models.end() && known->second.adapters.contains(adapter)) {
+                until = std::max(until, known->second.adapters.at(adapter));
+            }
+        }
+        models.emplace(m.name(), std::move(held));
+    }
+    u.models = std::move(models);
+    return changed;
+}
+
+}  // namespace
+
+bool take_beacon(site_view& v, const std::string& ip, const schema::engine_beacon& b,
+                 time_point now) {
+    for (auto& [id, u] : v.upstreams) {
+        const auto at = settings::parse_endpoint(u.address);
+        if (u.born_ms != b.born_ms() || !at || at->ip != ip) {
+            continue;
+        }
+        u.load = {now, b.waiting(), b.reading(), b.running(), 0};
+        if (b.busy()) {
+            u.adapters_blocked_until = std::max(u.adapters_blocked_until, now + busy_block);
+        }
+        return take_models(u, b, now);
+    }
+    return false;
+}
+
+beacon_listener::beacon_listener(core& c) : core_(c), socket_(c.traffic.context()) {}
+
+std::string beacon_listener::open() {
+    const udp::endpoint at(asio::ip::make_address(core_.settings.listen.ip), 0);
+    boost::system::error_code failed;
+    (void)socket_.open(at.protocol(), failed);
+    if (!failed) {
+        (void)socket_.bind(at, failed);
+    }
+    if (failed) {
+        return "listen for beacons: " + failed.message();
+    }
+    runtime::spawn(core_.traffic, [this] { return ask(); });
+    runtime::spawn(core_.traffic, [this] { return listen(); });
+    return "";
+}
+
+asio::awaitable<void> beacon_listener::ask() {
+    schema::beacon_subscription wish;
+    wish.set_gateway(core_.settings.name);
+    const std::string text = wish.SerializeAsString();
+    while (true) {
+        std::set<std::string> ips;
+        for (const auto& [id, u] : core_.view.upstreams) {
+            const auto at = settings::parse_endpoint(u.address);
+            if (at && u.slots > 0 && (!u.models.empty() || u.role != dispatch::engine_role::any)) {
+                ips.insert(at->ip);
+            }
+        }
+        for (const std::string& ip : ips) {
+            const udp::endpoint to(asio::ip::make_address(ip), core_.settings.sidecar_port);
+            boost::system::error_code ignored;
+            // A lost wish is made up for by the next one.
+            (void)socket_.send_to(asio::buffer(text), to, 0, ignored);
+        }
+        co_await runtime::sleep_for(ask_interval);
+    }
+}
+
+asio::awaitable<void> beacon_listener::listen() {
+    std::array<char, largest_beacon> bytes{};
+    udp::endpoint from;
+    while (true) {
+        const auto [failed, size] =
+            co_await socket_.async_receive_from(asio::buffer(bytes), from, as_result);
+        if (failed == asio::error::operation_aborted) {
+            co_return;
+        }
+        schema::engine_beacon b;
+        if (failed || !b.ParseFromArray(bytes.data(), static_cast<int>(size))) {
+            continue;
+        }
+        const std::string ip = from.address().to_string();
+        if (take_beacon(core_.view, ip, b, runtime::boot_now())) {
+            const auto waiting = core_.waiting;
+            for (asio::steady_timer* t : waiting) {
+                t->cancel();
+            }
+        }
+    }
+}
+
+}  // namespace burdockdeck::gateway
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -11,6 +11,7 @@
 
 #include "connection_pool.h"
 #include "dispatch/budget.h"
+#include "dispatch/speed.h"
 #include "gateway/protocol.h"
 #include "gateway/settings.h"
 #include "runtime/loop.h"
@@ -23,6 +24,7 @@
 namespace burdockdeck::gateway {
 
 class session;
+class beacon_listener;
 
 struct demand_key {
     std::string service;
@@ -57,6 +59,7 @@
     // By service.
     std::map<std::string, dispatch::retry_budget> budgets;
     std::map<demand_key, model_counts> demand;
+    dispatch::model_speeds speeds;
     // By address of a sidecar.
     std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
     // Timers of requests that wait for an upstream; cancelled whenever the view changes.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -69,6 +69,8 @@
     v.service = r.service;
     v.failure_domain = c.settings.failure_domain;
     v.tried = &r.tried;
+    v.tokens_per_ms =
+        dispatch::speed_of(c.speeds, r.facts.needs.model, c.settings.choice.read_tokens_per_ms);
     return v;
 }
 
@@ -306,6 +308,7 @@
                {"prompt_tokens", r->facts.needs.prompt_tokens},
                {"read_tokens", r->read_tokens},
                {"expected_ms", r->expected_ms},
+               {"backlog_ms", r->backlog_ms},
                {"model", r->facts.needs.model},
                {"adapter", r->facts.needs.adapter},
                {"caller_left", caller.caller_left() ? "yes" : "no"}});
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -40,6 +40,9 @@
     // What the last choice expected.
     double expected_ms = 0;
     std::uint32_t read_tokens = 0;
+    double backlog_ms = 0;
+    // True if the upstream had nothing else to read when the request was sent.
+    bool free_engine = false;
 
     std::shared_ptr<exchange> current;
     std::string last_failure;
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "beacon_listener.h"
 #include "core.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -119,6 +120,7 @@
     core shared;
     runtime::loop_pool platform_loops{"platform", 1};
     std::unique_ptr<site_client> control;
+    std::unique_ptr<beacon_listener> beacons;
     acceptor_ptr acceptor;
     std::unique_ptr<runtime::http_server> ready;
     std::unique_ptr<runtime::http_server> metrics;
@@ -186,6 +188,7 @@
             load.set_prompt_tokens(counts.prompt_tokens);
             load.set_output_tokens(counts.output_tokens);
             load.set_unplaced(counts.unplaced);
+            load.set_tokens_per_ms(dispatch::speed_of(shared.speeds, key.model, 0));
             load.set_in_flight(counts.in_flight);
             const std::uint32_t in_flight = counts.in_flight;
             counts = {};
@@ -282,6 +285,10 @@
                 [shared, update = std::move(update)] { shared->take_update(update); });
         });
     c.control.post([shared] { shared->control->start(); });
+    s->beacons = std::make_unique<beacon_listener>(c);
+    if (const std::string failed = s->beacons->open(); !failed.empty()) {
+        return gateway_error{failed};
+    }
     runtime::spawn(c.traffic, [shared] { return shared->keep_up(); });
     runtime::spawn(c.traffic,
                    [shared] { return accept_callers(shared->shared, shared->acceptor); });
--- a/libs/placement/include/placement/moves.h
+++ b/libs/placement/include/placement/moves.h
@@ -16,7 +16,7 @@
 
 struct move_settings {
     // A copy busier than this share of an engine gets another beside it.
-    double busy_share = 0.4;
+    double busy_share = 0.25;
     // A copy is given up for another model only if that one is busier by this factor.
     double worth_factor = 2.5;
     // Loads from the store at the same time, over all engines; beyond, each takes longer.
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -11,8 +11,10 @@
 // Pressure of a model that requests found nowhere, and of a declared one that nobody asked for.
 constexpr double unplaced_pressure = 1000;
 constexpr double absent_pressure = 1.0;
-// The same while another fleet holds it.
-constexpr double absent_here_pressure = 0.5;
+// Weight of an engine's present work against the price of a load from the store.
+constexpr double load_weight = 15;
+constexpr double store_cost = 10;
+constexpr double unload_cost = 3;
 // Demand under this share of an engine does not keep a last copy from going.
 constexpr double idle_demand = 0.02;
 // Loads that a new planner may begin in its first window.
@@ -65,10 +67,7 @@
         if (d.unplaced || d.engines > 0) {
             return unplaced_pressure + d.engines;
         }
-        if (!d.expected) {
-            return 0;
-        }
-        return d.elsewhere ? absent_here_pressure : absent_pressure;
+        return d.expected && !d.elsewhere ? absent_pressure : 0;
     }
     return d.engines / static_cast<double>(copies);
 }
@@ -132,17 +131,17 @@
         if (!store_allows(r)) {
             return -1;
         }
-        cost += 10;
+        cost += store_cost;
     }
     if (free_room(r, e) < size_of(r.f, model)) {
         const auto victim = victim_at(r, e, wanted);
         if (!victim) {
             return -1;
         }
-        cost += 3 + pressure(r, *victim, copies_of(r, *victim));
+        cost += unload_cost + pressure(r, *victim, copies_of(r, *victim));
     }
     for (const std::string& held : e.models) {
-        cost += pressure(r, held, std::max<std::size_t>(1, copies_of(r, held)));
+        cost += load_weight * pressure(r, held, std::max<std::size_t>(1, copies_of(r, held)));
     }
     return cost;
 }
--- a/libs/sidecar/include/sidecar/engine_protocol.h
+++ b/libs/sidecar/include/sidecar/engine_protocol.h
@@ -28,6 +28,8 @@
     std::uint64_t orders_accepted = 0;
     std::uint32_t queued = 0;
     std::uint32_t running = 0;
+    // Of those, requests that have made no event yet: their prompts are being read.
+    std::uint32_t reading = 0;
     std::uint64_t kv_used = 0;
     std::uint64_t kv_total = 0;
 };
--- a/libs/sidecar/include/sidecar/settings.h
+++ b/libs/sidecar/include/sidecar/settings.h
@@ -19,6 +19,8 @@
     settings::log_settings log;
     // An adapter that was asked for is not unloaded for this long.
     duration adapter_lease = std::chrono::seconds(4);
+    // Gateways hear of the engine's load this often while it works.
+    duration beacon_interval = std::chrono::milliseconds(60);
 };
 
 [[nodiscard]] result<sidecar_settings, settings::settings_error> load_settings(
--- a/libs/sidecar/src/server.cpp
+++ b/libs/sidecar/src/server.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 
+#include "beacon_sender.h"
 #include "engine_link.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -32,6 +33,7 @@
     runtime::rpc_access access;
     runtime::loop loop{"control"};
     engine_link link;
+    beacon_sender beacons{loop, link, settings};
     adapter_leases leases;
     // Highest term of a planner that gave an order.
     std::uint64_t term = 0;
@@ -277,6 +279,9 @@
         return sidecar_error{error(server).message};
     }
     s->server = std::move(value(server));
+    if (const std::string failed = s->shared.beacons.open(); !failed.empty()) {
+        return sidecar_error{failed};
+    }
     log_event(severity::info, event::started,
               {{"name", settings.name}, {"listen", to_text(settings.listen)}});
     return std::unique_ptr<sidecar_server>(new sidecar_server(std::move(s)));
--- a/libs/sidecar/src/settings.cpp
+++ b/libs/sidecar/src/settings.cpp
@@ -12,6 +12,7 @@
     s.access = get_access_settings(reader);
     s.log = get_log_settings(reader);
     s.adapter_lease = reader.get_milliseconds("adapter_lease_ms", 100, 600'000, 4000);
+    s.beacon_interval = reader.get_milliseconds("beacon_interval_ms", 5, 60'000, 60);
     if (const auto failed = reader.finish()) {
         return *failed;
     }
