Placement by the utilization of engines; copies are left alone before they go

Cause: engines with two hot models queued up while rare models pinned the rest; unloads refused what waited there, and copies went before others served. Change: local search over squared utilizations with a price on each move; gateways are told of parting copies; a copy that is asked for goes only while others serve; orders at lost engines hold up nothing.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -18,6 +18,9 @@
 using runtime::severity;
 
 constexpr duration plan_interval = std::chrono::milliseconds(250);
+// From the notice to gateways until the order; and how long they keep to the notice.
+constexpr duration parting_notice = std::chrono::milliseconds(400);
+constexpr duration parting_time = std::chrono::seconds(6);
 constexpr duration order_timeout = std::chrono::milliseconds(1500);
 // A gateway silent for this long has no demand that anyone knows of.
 constexpr duration report_patience = std::chrono::seconds(3);
@@ -209,8 +212,24 @@
     return to_text(settings::endpoint{at.ip, i.settings.site->sidecar_port});
 }
 
+// Gateways leave a copy alone before it is unloaded, so that nothing waits there any more.
+boost::asio::awaitable<void> part_from(instance& i, std::string engine, std::string model) {
+    i.site->parting[{engine, model}] = runtime::boot_now() + parting_time;
+    for (auto& [w, known] : i.site->watchers) {
+        known.parting_known = false;
+    }
+    update_site_watchers(i);
+    co_await runtime::sleep_for(parting_notice);
+}
+
 boost::asio::awaitable<void> give_order(instance& i, placement::move m,
                                         placement::engine_state engine) {
+    if (m.kind == placement::move_kind::unload) {
+        const std::string id = engine.id;
+        co_await part_from(i, id, m.model);
+    } else {
+        i.site->parting.erase({engine.id, m.model});
+    }
     const std::string address = sidecar_address(i, engine.address);
     auto& stub = i.site->sidecars[address];
     if (stub == nullptr) {
@@ -228,8 +247,9 @@
     auto answer = co_await runtime::call_unary<rpc::order_model_reply>(
         i.loop.context(), i.access, std::move(request), order_timeout, start);
     if (!succeeded(answer)) {
-        // It may have been carried out: the order stays noted until its effect shows.
+        // It may have been carried out; the sidecar refuses what no longer fits.
         i.site->sidecars.erase(address);
+        placement::note_unanswered(i.site->moves, {}, engine.id, runtime::boot_now());
         log_event(severity::warning, event::order_failed,
                   {{"upstream", engine.id}, {"model", m.model}, {"reason", error(answer).message}});
         co_return;
@@ -288,6 +308,7 @@
             continue;
         }
         refresh_deployment(i);
+        std::erase_if(i.site->parting, [now](const auto& p) { return p.second < now; });
         update_demand(*i.site, now);
         for (const deployment::service_spec& service : i.site->current.services) {
             if (service.engine.slots == 0) {
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -41,6 +41,12 @@
     for (const std::string& address : i.raft->member_addresses()) {
         update.add_control_addresses(address);
     }
+    for (const auto& [copy, until] : i.site->parting) {
+        rpc::parting_copy& p = *update.add_parting();
+        p.set_upstream(copy.first);
+        p.set_model(copy.second);
+    }
+    known.parting_known = true;
     update.set_gateways(static_cast<std::uint32_t>(i.site->watchers.size()));
     return update;
 }
@@ -198,7 +204,7 @@
 void update_site_watchers(instance& i) {
     for (auto& [w, known] : i.site->watchers) {
         const bool behind = known.known_version < i.raft->state().deployment().version() ||
-                            w->known() < i.site->upstreams.changes;
+                            w->known() < i.site->upstreams.changes || !known.parting_known;
         if (behind && w->ready()) {
             send_update(i, w, known);
         }
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -22,6 +22,7 @@
 struct gateway_watch {
     std::string name;
     std::uint64_t known_version = 0;
+    bool parting_known = true;
 };
 
 // Demand of a model, apart for long and short prompts.
@@ -68,6 +69,8 @@
     // When gateways first reported any; the zero time before.
     time_point demand_since{};
     placement::move_memory moves;
+    // Engines and models about to be unloaded, with the time until which gateways are told.
+    std::map<std::pair<std::string, std::string>, time_point> parting;
     // By address.
     std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
 };
--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,8 @@
     std::string_view failure_domain;
     // Ids that this request was sent to already.
     const std::vector<std::string>* tried = nullptr;
+    // Copies about to be unloaded; taken only when there is no other.
+    const std::set<std::pair<std::string, std::string>>* parting = nullptr;
     // Prompt tokens of its model that an engine reads in a millisecond.
     double tokens_per_ms = 38.0;
 };
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -130,6 +130,12 @@
             set_aside.push_back(u);
         }
     }
+    const auto parts = [&](const upstream* u) {
+        return r.parting != nullptr && r.parting->contains({u->id, r.needs->model});
+    };
+    if (!std::all_of(open.begin(), open.end(), parts)) {
+        std::erase_if(open, parts);
+    }
     const double known = static_cast<double>(open.size() + set_aside.size());
     if (open.empty() || static_cast<double>(set_aside.size()) > s.max_ejected_share * known) {
         open.insert(open.end(), set_aside.begin(), set_aside.end());
--- a/libs/dispatch/tests/test_choice.cpp
+++ b/libs/dispatch/tests/test_choice.cpp
@@ -154,6 +154,19 @@
     CHECK_FALSE(chosen->needs_adapter);
 }
 
+TEST_CASE("a copy about to be unloaded gets work only if there is no other") {
+    fleet f(2);
+    const work w = generation(5);
+    std::set<std::pair<std::string, std::string>> parting{{"u0", "m"}};
+    request_view v = view(w);
+    v.parting = &parting;
+    for (int i = 0; i < 20; ++i) {
+        CHECK(choose(f.pointers(), v, {}, now, f.rng)->to->id == "u1");
+    }
+    parting.emplace("u1", "m");
+    CHECK(choose(f.pointers(), v, {}, now, f.rng));
+}
+
 TEST_CASE("an unreachable upstream is left alone, longer each time, and comes back") {
     fleet f(3);
     upstream& bad = f.all[1];
--- a/libs/dispatch/tests/test_roles.cpp
+++ b/libs/dispatch/tests/test_roles.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+// A third of the engines for short prompts.
+const role_settings settings{2000, 0.34, 4};
+
 std::vector<engine_place> places(std::size_t n) {
     std::vector<engine_place> out;
     for (std::size_t i = 0; i < n; ++i) {
@@ -25,19 +28,19 @@
 
 TEST_CASE("everyone divides the same engines alike, in whatever order they are known") {
     std::vector<engine_place> all = places(12);
-    const std::set<std::string> chosen = short_prompt_engines(all, {});
+    const std::set<std::string> chosen = short_prompt_engines(all, settings);
     CHECK(chosen.size() == 4);
     std::mt19937 rng(4);
     for (int i = 0; i < 20; ++i) {
         std::shuffle(all.begin(), all.end(), rng);
-        CHECK(short_prompt_engines(all, {}) == chosen);
+        CHECK(short_prompt_engines(all, settings) == chosen);
     }
 }
 
 TEST_CASE("the division is spread over failure domains") {
     std::map<std::string, int> in_domain;
     const std::vector<engine_place> all = places(12);
-    for (const std::string& address : short_prompt_engines(all, {})) {
+    for (const std::string& address : short_prompt_engines(all, settings)) {
         for (const engine_place& e : all) {
             in_domain[e.failure_domain] += e.address == address ? 1 : 0;
         }
@@ -49,16 +52,16 @@
 }
 
 TEST_CASE("few engines are not divided") {
-    CHECK(short_prompt_engines(places(3), {}).empty());
+    CHECK(short_prompt_engines(places(3), settings).empty());
 }
 
 TEST_CASE("an engine that leaves changes little") {
     const std::vector<engine_place> all = places(12);
-    const std::set<std::string> before = short_prompt_engines(all, {});
+    const std::set<std::string> before = short_prompt_engines(all, settings);
     for (std::size_t gone = 0; gone < all.size(); ++gone) {
         std::vector<engine_place> rest = all;
         rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(gone));
-        const std::set<std::string> after = short_prompt_engines(rest, {});
+        const std::set<std::string> after = short_prompt_engines(rest, settings);
         const auto changed = std::count_if(after.begin(), after.end(),
                                            [&](const auto& a) { return before.count(a) == 0; });
         CHECK(changed <= 2);
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -69,6 +69,7 @@
     v.service = r.service;
     v.failure_domain = c.settings.failure_domain;
     v.tried = &r.tried;
+    v.parting = &c.view.parting;
     v.tokens_per_ms =
         dispatch::speed_of(c.speeds, r.facts.needs.model, c.settings.choice.read_tokens_per_ms);
     return v;
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -160,6 +160,12 @@
                 log_upstream(a);
             }
         }
+        if (update.leading()) {
+            c.view.parting.clear();
+            for (const rpc::parting_copy& p : update.parting()) {
+                c.view.parting.emplace(p.upstream(), p.model());
+            }
+        }
         c.view.gateways = std::max(1U, update.gateways());
         if (changed) {
             assign_roles(c.view, c.settings.choice.roles);
--- a/libs/gateway/src/site_view.h
+++ b/libs/gateway/src/site_view.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
     std::map<std::string, dispatch::upstream> upstreams;
     // The newest announcement taken of each upstream.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> orders;
+    // Upstreams and models that the planner is about to unload.
+    std::set<std::pair<std::string, std::string>> parting;
     // Gateways that share the fleet's budgets.
     std::uint32_t gateways = 1;
 };
--- a/libs/placement/include/placement/moves.h
+++ b/libs/placement/include/placement/moves.h
@@ -15,10 +15,8 @@
 namespace burdockdeck::placement {
 
 struct move_settings {
-    // A copy busier than this share of an engine gets another beside it.
-    double busy_share = 0.25;
-    // A copy is given up for another model only if that one is busier by this factor.
-    double worth_factor = 2.5;
+    // Only a copy busier than this share of an engine gets another beside it.
+    double busy_share = 0.08;
     // Loads from the store at the same time, over all engines; beyond, each takes longer.
     std::uint32_t store_at_once = 4;
     // Loads from the store that begin within the window.
@@ -26,8 +24,10 @@
     duration store_window = std::chrono::seconds(5);
     // An order that shows no effect for this long is taken as lost.
     duration order_patience = std::chrono::seconds(14);
+    // The same for one that got no answer.
+    duration unanswered_patience = std::chrono::seconds(2);
     // A model that was loaded is not unloaded sooner than this.
-    duration least_stay = std::chrono::seconds(3);
+    duration least_stay = std::chrono::seconds(6);
 };
 
 struct sized_model {
@@ -100,6 +100,9 @@
 // Forgets orders whose effect shows or that are lost, and loads that have left the window.
 void settle(move_memory& m, const fleet_state& f, const move_settings& s, time_point now);
 void note_ordered(move_memory& m, const move& ordered, time_point now);
+// An order that got no answer: it may still be carried out, but it holds up nothing for long.
+void note_unanswered(move_memory& m, const move_settings& s, const std::string& engine,
+                     time_point now);
 // An order that the engine refused never holds.
 void note_refused(move_memory& m, const std::string& engine);
 // A planner that has just begun does not know the loads before it: it takes part of the window as
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -1,31 +1,45 @@
-// Greedy rounds: the most pressing model gets the cheapest place.
+// Local search: the moves that lower the squared utilization of the engines most.
 #include "placement/moves.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace burdockdeck::placement {
 
 namespace {
 
-// Pressure of a model that requests found nowhere, and of a declared one that nobody asked for.
-constexpr double unplaced_pressure = 1000;
-constexpr double absent_pressure = 1.0;
-// Weight of an engine's present work against the price of a load from the store.
-constexpr double load_weight = 15;
-constexpr double store_cost = 10;
-constexpr double unload_cost = 3;
+// What it is worth that a model is held somewhere, against squared utilizations of engines: while
+// nobody asks for it, and while someone does.
+constexpr double idle_presence = 0.4;
+constexpr double asked_presence = 5.0;
+// A move must be worth more than this, so that small changes of demand move nothing.
+constexpr double store_load_cost = 0.15;
+constexpr double copy_load_cost = 0.08;
+constexpr double unload_cost = 0.12;
 // Demand under this share of an engine does not keep a last copy from going.
 constexpr double idle_demand = 0.02;
+// Beyond this utilization requests queue up, however the rest is spread.
+constexpr double crowded = 0.5;
+constexpr double crowded_weight = 3.0;
+// The most that the copies which stay may have to carry each.
+constexpr double bearable = 0.45;
+// Share of the engines that may carry out orders at the same time.
+constexpr double ordered_share = 0.34;
 // Loads that a new planner may begin in its first window.
 constexpr std::size_t loads_of_new_planner = 3;
+constexpr std::size_t most_moves_a_round = 6;
 
-struct round {
+// The fleet as it will be once all orders are carried out.
+struct plan_state {
     const fleet_state& f;
     const move_memory& m;
     const move_settings& s;
     time_point now;
-    std::set<std::string> used;
+    std::vector<std::set<std::string>> held;
+    std::map<std::string, std::size_t> copies;
+    std::vector<double> utilization;
+    std::set<std::size_t> used;
     std::uint32_t store_begun = 0;
     std::uint32_t store_running = 0;
 };
@@ -40,158 +54,256 @@
     return found == f.demand.end() ? model_demand{} : found->second;
 }
 
-const move* order_at(const move_memory& m, const std::string& engine) {
-    const auto found = m.orders.find(engine);
-    return found == m.orders.end() ? nullptr : &found->second.ordered;
+double share_of(const plan_state& p, const std::string& model) {
+    const auto found = p.copies.find(model);
+    const std::size_t copies = found == p.copies.end() ? 0 : found->second;
+    return copies == 0 ? 0 : demand_of(p.f, model).engines / static_cast<double>(copies);
 }
 
-// Copies that accept work, or will soon.
-std::size_t copies_of(const round& r, const std::string& model) {
-    std::size_t copies = 0;
-    for (const engine_state& e : r.f.engines) {
-        if (!e.accepting) {
-            continue;
-        }
-        const move* order = order_at(r.m, e.id);
-        const bool about_it = order != nullptr && order->model == model;
-        const bool loading = about_it && order->kind == move_kind::load;
-        const bool unloading = about_it && order->kind == move_kind::unload;
-        copies += (e.models.contains(model) || loading) && !unloading ? 1 : 0;
+double cost_of(double utilization) {
+    const double over = std::max(0.0, utilization - crowded);
+    return utilization * utilization + crowded_weight * over * over;
+}
+
+double presence_of(const plan_state& p, const std::string& model) {
+    const model_demand d = demand_of(p.f, model);
+    if (d.unplaced || d.engines > idle_demand) {
+        // Serving all of it at one crowded engine is better than serving none.
+        return asked_presence + 2 * cost_of(d.engines);
     }
-    return copies;
+    return d.expected && !d.elsewhere ? idle_presence : 0;
 }
 
-double pressure(const round& r, const std::string& model, std::size_t copies) {
-    const model_demand d = demand_of(r.f, model);
-    if (copies == 0) {
-        if (d.unplaced || d.engines > 0) {
-            return unplaced_pressure + d.engines;
+plan_state state_of(const fleet_state& f, const move_memory& m, const move_settings& s,
+                    time_point now) {
+    plan_state p{f, m, s, now, {}, {}, {}, {}, 0, 0};
+    for (std::size_t i = 0; i < f.engines.size(); ++i) {
+        const engine_state& e = f.engines[i];
+        std::set<std::string> held = e.models;
+        const auto order = m.orders.find(e.id);
+        if (order != m.orders.end()) {
+            p.used.insert(i);
+            if (order->second.ordered.kind == move_kind::load) {
+                held.insert(order->second.ordered.model);
+            } else {
+                held.erase(order->second.ordered.model);
+            }
         }
-        return d.expected && !d.elsewhere ? absent_pressure : 0;
+        if (e.accepting) {
+            for (const std::string& model : held) {
+                ++p.copies[model];
+            }
+        } else {
+            p.used.insert(i);
+            held.clear();
+        }
+        p.held.push_back(std::move(held));
+    }
+    for (const auto& held : p.held) {
+        double sum = 0;
+        for (const std::string& model : held) {
+            sum += share_of(p, model);
+        }
+        p.utilization.push_back(sum);
     }
-    return d.engines / static_cast<double>(copies);
+    p.store_begun = static_cast<std::uint32_t>(m.store_loads.size());
+    for (const auto& [engine, order] : m.orders) {
+        p.store_running += order.ordered.from_store ? 1 : 0;
+    }
+    return p;
 }
 
-double free_room(const round& r, const engine_state& e) {
-    double room = e.room_mb;
-    for (const std::string& model : e.models) {
-        room -= size_of(r.f, model);
+double free_room(const plan_state& p, std::size_t engine) {
+    double room = p.f.engines[engine].room_mb;
+    for (const std::string& model : p.f.engines[engine].models) {
+        room -= size_of(p.f, model);
     }
     return room;
 }
 
-bool stays(const round& r, const engine_state& e, const std::string& model) {
-    const auto found = r.m.loaded.find({e.id, model});
-    return found != r.m.loaded.end() && r.now - found->second < r.s.least_stay;
-}
-
-// The model at `e` that is missed least; empty if none may go for one under `wanted` pressure.
-std::optional<std::string> victim_at(const round& r, const engine_state& e, double wanted) {
-    std::optional<std::string> victim;
-    double least = std::numeric_limits<double>::max();
-    for (const std::string& model : e.models) {
-        if (stays(r, e, model)) {
+// Change of the objective when the copies of `model` become `copies`, with one added or removed at
+// `engine`; adds the changed utilizations to `changed`.
+double respread(const plan_state& p, const std::string& model, std::size_t copies,
+                std::size_t engine, bool added, std::map<std::size_t, double>& changed) {
+    const double engines = demand_of(p.f, model).engines;
+    const double before = share_of(p, model);
+    const double after = copies == 0 ? 0 : engines / static_cast<double>(copies);
+    double sum = 0;
+    for (std::size_t i = 0; i < p.held.size(); ++i) {
+        const bool holds = p.held[i].contains(model);
+        const bool will_hold = i == engine ? added : holds;
+        if (!holds && !will_hold) {
             continue;
         }
-        const std::size_t copies = copies_of(r, model);
-        const model_demand d = demand_of(r.f, model);
-        double loss = pressure(r, model, copies > 1 ? copies - 1 : 1);
-        if (copies <= 1) {
-            // The last copy goes only for demand that has none, and only while nobody asks for it.
-            const bool needed = d.engines > idle_demand || (d.expected && !d.elsewhere);
-            if (needed && (wanted < unplaced_pressure || d.engines > idle_demand)) {
-                continue;
-            }
-            loss += d.elsewhere ? 0 : absent_pressure;
-        }
-        if (loss < least) {
-            least = loss;
-            victim = model;
-        }
+        const auto known = changed.find(i);
+        const double old = known == changed.end() ? p.utilization[i] : known->second;
+        const double fresh = old - (holds ? before : 0) + (will_hold ? after : 0);
+        sum += cost_of(fresh) - cost_of(old);
+        changed[i] = fresh;
     }
-    if (!victim || least * r.s.worth_factor > wanted) {
-        return std::nullopt;
+    return sum;
+}
+
+std::size_t copies_of(const plan_state& p, const std::string& model) {
+    const auto found = p.copies.find(model);
+    return found == p.copies.end() ? 0 : found->second;
+}
+
+bool stays(const plan_state& p, std::size_t engine, const std::string& model) {
+    const auto found = p.m.loaded.find({p.f.engines[engine].id, model});
+    return found != p.m.loaded.end() && p.now - found->second < p.s.least_stay;
+}
+
+// Copies that serve now and go on doing so.
+std::size_t serving_copies(const plan_state& p, const std::string& model) {
+    std::size_t serving = 0;
+    for (std::size_t i = 0; i < p.held.size(); ++i) {
+        const engine_state& e = p.f.engines[i];
+        serving += e.accepting && e.models.contains(model) && p.held[i].contains(model) ? 1 : 0;
     }
-    return victim;
+    return serving;
 }
 
-bool store_allows(const round& r) {
-    return r.store_begun < r.s.store_per_window && r.store_running < r.s.store_at_once;
+// A copy that is asked for goes only while others that serve already can carry its work.
+bool may_go(const plan_state& p, const std::string& model) {
+    const double engines = demand_of(p.f, model).engines;
+    if (engines <= idle_demand) {
+        return true;
+    }
+    const double rest = static_cast<double>(serving_copies(p, model)) - 1;
+    return rest >= 1 && engines / rest <= bearable;
 }
 
-// How dear a load of `model` at `e` is; negative if it cannot be there.
-double cost_at(const round& r, const engine_state& e, const std::string& model, double wanted) {
-    const bool usable =
-        e.accepting && !r.used.contains(e.id) && !order_at(r.m, e.id) && !e.models.contains(model);
-    if (!usable) {
-        return -1;
+struct candidate {
+    std::size_t engine = 0;
+    std::string model;
+    std::vector<std::string> victims;
+    double gain = 0;
+    bool from_store = false;
+};
+
+// What the candidate improves, its own price taken off.
+double gain_of(const plan_state& p, const candidate& c) {
+    std::map<std::size_t, double> changed;
+    double change = 0;
+    for (const std::string& victim : c.victims) {
+        const std::size_t copies = copies_of(p, victim);
+        change += respread(p, victim, copies - 1, c.engine, false, changed) + unload_cost;
+        change += copies == 1 ? presence_of(p, victim) : 0;
     }
-    double cost = 0;
-    if (!e.copies.contains(model)) {
-        if (!store_allows(r)) {
-            return -1;
+    const std::size_t copies = copies_of(p, c.model);
+    change += respread(p, c.model, copies + 1, c.engine, true, changed);
+    change -= copies == 0 ? presence_of(p, c.model) : 0;
+    change += c.from_store ? store_load_cost : copy_load_cost;
+    return -change;
+}
+
+// Sets of models to unload so that `needed` fits: none, one, or two.
+std::vector<std::vector<std::string>> victim_sets(const plan_state& p, std::size_t engine,
+                                                  double needed) {
+    std::vector<std::string> movable;
+    for (const std::string& model : p.f.engines[engine].models) {
+        if (!stays(p, engine, model) && may_go(p, model)) {
+            movable.push_back(model);
         }
-        cost += store_cost;
     }
-    if (free_room(r, e) < size_of(r.f, model)) {
-        const auto victim = victim_at(r, e, wanted);
-        if (!victim) {
-            return -1;
+    std::vector<std::vector<std::string>> sets;
+    for (std::size_t i = 0; i < movable.size(); ++i) {
+        if (size_of(p.f, movable[i]) >= needed) {
+            sets.push_back({movable[i]});
+        }
+        for (std::size_t k = i + 1; k < movable.size(); ++k) {
+            const double both = size_of(p.f, movable[i]) + size_of(p.f, movable[k]);
+            if (both >= needed && size_of(p.f, movable[i]) < needed &&
+                size_of(p.f, movable[k]) < needed) {
+                sets.push_back({movable[i], movable[k]});
+            }
         }
-        cost += unload_cost + pressure(r, *victim, copies_of(r, *victim));
     }
-    for (const std::string& held : e.models) {
-        cost += load_weight * pressure(r, held, std::max<std::size_t>(1, copies_of(r, held)));
+    return sets;
+}
+
+void consider(const plan_state& p, candidate c, candidate& best) {
+    c.gain = gain_of(p, c);
+    if (c.gain > best.gain) {
+        best = std::move(c);
     }
-    return cost;
 }
 
-std::optional<move> place(round& r, const std::string& model, double wanted) {
-    const engine_state* best = nullptr;
-    double least = std::numeric_limits<double>::max();
-    for (const engine_state& e : r.f.engines) {
-        const double cost = cost_at(r, e, model, wanted);
-        if (cost >= 0 && cost < least) {
-            least = cost;
-            best = &e;
+candidate best_candidate(const plan_state& p) {
+    candidate best;
+    const bool store_open =
+        p.store_begun < p.s.store_per_window && p.store_running < p.s.store_at_once;
+    for (const auto& [model, size] : p.f.models) {
+        const bool wanted = copies_of(p, model) == 0 ? presence_of(p, model) > 0
+                                                     : share_of(p, model) > p.s.busy_share;
+        if (!wanted) {
+            continue;
+        }
+        for (std::size_t i = 0; i < p.held.size(); ++i) {
+            const bool from_store = !p.f.engines[i].copies.contains(model);
+            if (p.used.contains(i) || p.held[i].contains(model) || (from_store && !store_open)) {
+                continue;
+            }
+            const double needed = size.weights_mb - free_room(p, i);
+            if (needed <= 0) {
+                consider(p, {i, model, {}, 0, from_store}, best);
+                continue;
+            }
+            for (auto& victims : victim_sets(p, i, needed)) {
+                consider(p, {i, model, std::move(victims), 0, from_store}, best);
+            }
         }
     }
-    if (best == nullptr) {
-        return std::nullopt;
+    return best;
+}
+
+void apply(plan_state& p, const candidate& c) {
+    std::map<std::size_t, double> changed;
+    for (const std::string& victim : c.victims) {
+        (void)respread(p, victim, copies_of(p, victim) - 1, c.engine, false, changed);
+        --p.copies[victim];
+        p.held[c.engine].erase(victim);
     }
-    r.used.insert(best->id);
-    const std::string why = "for " + model + ", pressure " + std::to_string(wanted);
-    if (free_room(r, *best) < size_of(r.f, model)) {
-        return move{best->id, move_kind::unload, *victim_at(r, *best, wanted), false, why};
+    (void)respread(p, c.model, copies_of(p, c.model) + 1, c.engine, true, changed);
+    ++p.copies[c.model];
+    p.held[c.engine].insert(c.model);
+    for (const auto& [engine, utilization] : changed) {
+        p.utilization[engine] = utilization;
     }
-    const bool from_store = !best->copies.contains(model);
-    r.store_begun += from_store ? 1 : 0;
-    r.store_running += from_store ? 1 : 0;
-    return move{best->id, move_kind::load, model, from_store, why};
+    p.used.insert(c.engine);
+    p.store_begun += c.from_store ? 1 : 0;
+    p.store_running += c.from_store ? 1 : 0;
 }
 
 }  // namespace
 
 std::vector<move> next_moves(const fleet_state& f, const move_memory& m, const move_settings& s,
                              time_point now) {
-    round r{f, m, s, now, {}, 0, 0};
-    r.store_begun = static_cast<std::uint32_t>(m.store_loads.size());
-    for (const auto& [engine, order] : m.orders) {
-        r.store_running += order.ordered.from_store ? 1 : 0;
+    plan_state p = state_of(f, m, s, now);
+    std::vector<move> moves;
+    const auto most_orders =
+        static_cast<std::size_t>(std::ceil(ordered_share * static_cast<double>(f.engines.size())));
+    std::size_t under_way = 0;
+    for (const engine_state& e : f.engines) {
+        under_way += e.accepting && m.orders.contains(e.id) ? 1 : 0;
     }
-    std::vector<std::pair<double, std::string>> pressing;
-    for (const auto& [model, size] : f.models) {
-        const double p = pressure(r, model, copies_of(r, model));
-        if (p > s.busy_share) {
-            pressing.emplace_back(p, model);
+    while (moves.size() < most_moves_a_round) {
+        const candidate best = best_candidate(p);
+        // What nobody can be served by goes ahead of what only spreads work.
+        const bool urgent = copies_of(p, best.model) == 0;
+        if (best.gain <= 0 || (!urgent && under_way + moves.size() >= most_orders)) {
+            break;
         }
-    }
-    std::sort(pressing.rbegin(), pressing.rend());
-    std::vector<move> moves;
-    for (const auto& [p, model] : pressing) {
-        if (auto placed = place(r, model, p)) {
-            moves.push_back(std::move(*placed));
+        const std::string& engine = f.engines[best.engine].id;
+        const std::string why = "for " + best.model + ", gain " + std::to_string(best.gain);
+        if (best.victims.empty()) {
+            moves.push_back({engine, move_kind::load, best.model, best.from_store, why});
+        } else {
+            // The load follows once the room is free.
+            moves.push_back({engine, move_kind::unload, best.victims.front(), false, why});
         }
+        apply(p, best);
     }
     return moves;
 }
@@ -223,6 +335,14 @@
     }
 }
 
+void note_unanswered(move_memory& m, const move_settings& s, const std::string& engine,
+                     time_point now) {
+    const auto found = m.orders.find(engine);
+    if (found != m.orders.end()) {
+        found->second.at = now - s.order_patience + s.unanswered_patience;
+    }
+}
+
 void note_refused(move_memory& m, const std::string& engine) {
     m.orders.erase(engine);
 }
