Silent upstreams are left on evidence; speeds are not learnt from slow moments

Cause: streams on silent replicas waited out their deadline; a first sample from a silent engine made a model look forty times slower, and the planner moved everything for it (gains of 628). Ruled out: ending a wait before the first event while the engine is still heard (61 needless 502).

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -95,7 +95,8 @@
         for (const rpc::model_load& load : record.latest.models()) {
             const planned_kind kind{load.model(), load.long_prompts()};
             if (load.tokens_per_ms() > 0) {
-                site.speeds[load.model()] = load.tokens_per_ms();
+                double& known = site.speeds[load.model()];
+                known = std::max(known, load.tokens_per_ms());
             }
             const auto learnt = site.speeds.find(load.model());
             const double speed = learnt == site.speeds.end() ? usual_tokens_per_ms : learnt->second;
--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -22,6 +22,10 @@
     double batch_cost_ms = 1.5;
     // Price of leaving the caller's failure domain, in milliseconds.
     double domain_cost_ms = 12.0;
+    // Price for a short prompt of each long one usually being read beside it, and for a long prompt
+    // of each stream whose pauses it would stretch, in milliseconds.
+    double beside_reading_ms = 120.0;
+    double stretched_stream_ms = 5.0;
     // Price of a long prompt where short streams run, and of a short one where long prompts are
     // read, in milliseconds.
     double long_misplaced_ms = 400.0;
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -64,6 +64,8 @@
     std::uint32_t waiting = 0;
     std::uint32_t reading = 0;
     std::uint32_t running = 0;
+    // Smoothed number of prompts being read: what a stream will meet there.
+    double usual_reading = 0;
     // Reading time of what this gateway sent there since, in milliseconds.
     double sent_since_ms = 0;
 };
@@ -112,8 +114,14 @@
 // Requests that run at `u`.
 [[nodiscard]] std::uint32_t running_at(const upstream& u, time_point now);
 
+// True if `u` told of its load until lately, and has fallen silent.
+[[nodiscard]] bool load_is_stale(const upstream& u, time_point now);
+
 // --- Commands
 
+// Takes over what the engine's own side said.
+void note_load(upstream& u, std::uint32_t waiting, std::uint32_t reading, std::uint32_t running,
+               time_point now);
 // Notes a request whose prompt takes `read_ms` to read.
 void note_sent(upstream& u, double read_ms);
 // Notes that `u` reads the parts of `w`; `capacity` is its memory in tokens.
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -60,6 +60,22 @@
     return sum;
 }
 
+// Short streams and long prompts that meet at one engine cost each other time. The price sorts them
+// apart over the copies of a model, as far as there are several.
+double mixing_ms(const upstream& u, const work& w, const choice_settings& s, time_point now) {
+    constexpr double most_reading = 1.5;
+    constexpr double most_streams = 30;
+    if (w.model.empty() || load_is_stale(u, now)) {
+        return 0;
+    }
+    if (!is_long(w, s.roles)) {
+        return s.beside_reading_ms * std::min(most_reading, u.load.usual_reading);
+    }
+    const double streams =
+        running_at(u, now) - std::min<double>(u.load.reading, running_at(u, now));
+    return s.stretched_stream_ms * std::min(most_streams, streams);
+}
+
 double misplaced_ms(const upstream& u, const work& w, const choice_settings& s) {
     const bool long_prompt = is_long(w, s.roles);
     if (u.role == engine_role::short_prompts && long_prompt) {
@@ -154,7 +170,8 @@
     choice best;
     best.expected_ms = std::numeric_limits<double>::max();
     for (upstream* u : open) {
-        double ms = expected_ms(*u, r, s, now) + misplaced_ms(*u, *r.needs, s) + jitter(rng);
+        double ms = expected_ms(*u, r, s, now) + misplaced_ms(*u, *r.needs, s) +
+                    mixing_ms(*u, *r.needs, s, now) + jitter(rng);
         const std::uint32_t unread = tokens_to_read(*u, *r.needs);
         const bool unknown_here = unread >= r.needs->prompt_tokens;
         if (!r.needs->adapter.empty()) {
--- a/libs/dispatch/src/upstream.cpp
+++ b/libs/dispatch/src/upstream.cpp
@@ -14,6 +14,10 @@
 // A prompt that is being read is half read on average.
 constexpr double half_read = 0.6;
 constexpr double usual_smoothing = 0.05;
+// Idle engines are heard every 300 ms; two misses in a row are no accident.
+constexpr duration load_stale = std::chrono::milliseconds(900);
+// About two seconds of beacons.
+constexpr double reading_smoothing = 0.03;
 
 std::uint64_t seed_of(const work& w) {
     return checksum_of(w.model + "/" + w.adapter);
@@ -85,6 +89,17 @@
     return now - u.load.at > load_valid ? u.in_flight : u.load.running;
 }
 
+bool load_is_stale(const upstream& u, time_point now) {
+    return u.load.at != time_point{} && now - u.load.at > load_stale;
+}
+
+void note_load(upstream& u, std::uint32_t waiting, std::uint32_t reading, std::uint32_t running,
+               time_point now) {
+    const double usual =
+        u.load.usual_reading + reading_smoothing * (reading - u.load.usual_reading);
+    u.load = {now, waiting, reading, running, usual, 0};
+}
+
 void note_sent(upstream& u, double read_ms) {
     u.unread_ms += read_ms;
     u.load.sent_since_ms += read_ms;
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -26,6 +26,10 @@
 // Shorter prompts say too little of an engine's speed.
 constexpr std::uint32_t least_sample_tokens = 1000;
 constexpr double free_backlog_ms = 4;
+// An idempotent call is repeated elsewhere after this silence at the least.
+constexpr duration least_silence = std::chrono::milliseconds(450);
+// A stream that pauses longer is resumed elsewhere.
+constexpr duration stream_silence = std::chrono::milliseconds(1100);
 
 struct in_flight_guard {
     core& c;
@@ -130,6 +134,13 @@
     }
 }
 
+// True if another send could follow, should this one come to nothing.
+bool may_send_again(core& c, const request_state& r) {
+    return r.repeatable && r.tried.size() < r.route.max_sends &&
+           dispatch::may_repeat(c.budgets[r.service], c.settings.budget, c.view.gateways,
+                                runtime::boot_now());
+}
+
 asio::awaitable<connection_ptr> connection_to(core& c, const request_state& r, std::string id,
                                               std::string address, std::string& failure) {
     const bool recent_only = !r.repeatable;
@@ -176,7 +187,8 @@
 void learn_speed(core& c, const request_state& r, double first_event_ms) {
     const bool exact = r.read_tokens < r.facts.needs.prompt_tokens;
     if (exact && r.read_tokens >= least_sample_tokens && r.free_engine) {
-        dispatch::note_reading(c.speeds, r.facts.needs.model, r.read_tokens, first_event_ms);
+        dispatch::note_reading(c.speeds, r.facts.needs.model, r.read_tokens, first_event_ms,
+                               c.settings.choice.read_tokens_per_ms);
     }
 }
 
@@ -202,6 +214,7 @@
         if (events.empty()) {
             continue;
         }
+        r.waiting_since = runtime::boot_now();
         note_event(r, runtime::boot_now());
         if (first) {
             first = false;
@@ -302,10 +315,7 @@
     if (status >= server_error) {
         r.last_failure = "answered " + std::to_string(status);
         note(guard, attempt_outcome::failed);
-        const bool again = r.repeatable && r.tried.size() < r.route.max_sends && !r.head_sent &&
-                           dispatch::may_repeat(c.budgets[r.service], c.settings.budget,
-                                                c.view.gateways, runtime::boot_now());
-        if (again) {
+        if (!r.head_sent && may_send_again(c, r)) {
             return attempt_end::unknown;
         }
     }
@@ -368,12 +378,20 @@
     r.current = e;
     const time_point sent_at = runtime::boot_now();
     const duration timeout = time_left(r, sent_at);
+    r.waiting_since = sent_at;
     const send_status sent = co_await e->send(out, timeout);
     if (sent != send_status::answered) {
         r.last_failure = e->failure();
         e->abort();
         if (!caller.caller_left()) {
-            note(guard, attempt_outcome::silent);
+            const dispatch::upstream* u = guard.find();
+            // An engine that is heard and out of time has too much to do: it is not an outlier.
+            const bool busy = u != nullptr && !r.facts.needs.model.empty() &&
+                              !dispatch::load_is_stale(*u, runtime::boot_now()) &&
+                              time_left(r, runtime::boot_now()) <= duration::zero();
+            if (!busy) {
+                note(guard, attempt_outcome::silent);
+            }
             log_failed_attempt(r, id, name_in(send_status_names, sent));
         }
         co_return attempt_end::unknown;
@@ -415,6 +433,23 @@
     co_return end;
 }
 
+bool waits_in_vain(core& c, const request_state& r, time_point now) {
+    if (r.current == nullptr || r.tried.empty() || !may_send_again(c, r)) {
+        return false;
+    }
+    const duration silence = now - r.waiting_since;
+    if (r.facts.needs.model.empty()) {
+        return silence > std::max(least_silence, 3 * r.route.objective);
+    }
+    if (r.last_event_at != time_point{}) {
+        return silence > std::max(stream_silence, 4 * r.route.longest_pause);
+    }
+    const auto found = c.view.upstreams.find(r.tried.back());
+    const bool lost =
+        found == c.view.upstreams.end() || dispatch::load_is_stale(found->second, now);
+    return lost && silence > least_silence;
+}
+
 asio::awaitable<void> refuse(core& c, session& caller, request_state& r, unsigned status,
                              std::string reason, duration come_back) {
     c.metrics.count("burdockdeck_requests_refused_total", "status=" + std::to_string(status));
--- a/libs/gateway/src/beacon_listener.cpp
+++ b/libs/gateway/src/beacon_listener.cpp
@@ -59,7 +59,7 @@
         if (u.born_ms != b.born_ms() || !at || at->ip != ip) {
             continue;
         }
-        u.load = {now, b.waiting(), b.reading(), b.running(), 0};
+        dispatch::note_load(u, b.waiting(), b.reading(), b.running(), now);
         if (b.busy()) {
             u.adapters_blocked_until = std::max(u.adapters_blocked_until, now + busy_block);
         }
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -25,6 +25,7 @@
 
 class session;
 class beacon_listener;
+struct request_state;
 
 struct demand_key {
     std::string service;
@@ -65,6 +66,7 @@
     // Timers of requests that wait for an upstream; cancelled whenever the view changes.
     std::list<boost::asio::steady_timer*> waiting;
     std::list<std::weak_ptr<session>> sessions;
+    std::list<std::weak_ptr<request_state>> in_hand;
     std::uint32_t active_requests = 0;
     time_point draining_since{};
     // Read by the loop that answers for readiness.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -265,6 +265,16 @@
 
 }  // namespace
 
+void end_silent_attempts(core& c, time_point now) {
+    c.in_hand.remove_if([](const std::weak_ptr<request_state>& r) { return r.expired(); });
+    for (const std::weak_ptr<request_state>& weak : c.in_hand) {
+        const std::shared_ptr<request_state> r = weak.lock();
+        if (r && waits_in_vain(c, *r, now)) {
+            r->current->abort();
+        }
+    }
+}
+
 asio::awaitable<void> serve(core& c, session& caller, caller_request request) {
     auto r = std::make_shared<request_state>();
     r->request = std::move(request);
@@ -286,6 +296,7 @@
         co_return;
     }
     count_demand(c, *r);
+    c.in_hand.push_back(r);
     caller.on_caller_left([r] {
         if (r->current) {
             r->current->abort();
--- a/libs/gateway/src/request.h
+++ b/libs/gateway/src/request.h
@@ -10,4 +10,7 @@
 // Answers `r` on `caller`, or ends the connection so that nothing looks whole that is not.
 boost::asio::awaitable<void> serve(core& c, session& caller, caller_request r);
 
+// Ends attempts whose upstream has fallen silent, so that the next one can begin.
+void end_silent_attempts(core& c, time_point now);
+
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -45,6 +45,8 @@
     bool free_engine = false;
 
     std::shared_ptr<exchange> current;
+    // Since when nothing has come from the current upstream.
+    time_point waiting_since{};
     std::string last_failure;
 };
 
@@ -65,6 +67,9 @@
 // One send of `r` to `to`, up to its end.
 boost::asio::awaitable<attempt_end> attempt(core& c, session& caller, request_state& r,
                                             dispatch::choice to);
+// True if the current upstream has been silent for longer than is usual and another send may
+// follow. A prompt that waits at an engine that is still heard waits on.
+[[nodiscard]] bool waits_in_vain(core& c, const request_state& r, time_point now);
 // Answers the caller itself.
 boost::asio::awaitable<void> refuse(core& c, session& caller, request_state& r, unsigned status,
                                     std::string reason, duration come_back);
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -7,6 +7,7 @@
 
 #include "beacon_listener.h"
 #include "core.h"
+#include "request.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
@@ -22,8 +23,8 @@
 
 namespace {
 
-constexpr duration upkeep_interval = std::chrono::milliseconds(250);
-constexpr int upkeeps_per_report = 2;
+constexpr duration upkeep_interval = std::chrono::milliseconds(125);
+constexpr int upkeeps_per_report = 4;
 // The platform asks once a second and takes a gateway out after two misses.
 constexpr duration rotation_delay = std::chrono::milliseconds(2600);
 // Whatever is in hand is cut this long before the grace time is over.
@@ -208,6 +209,7 @@
         while (true) {
             co_await runtime::sleep_for(upkeep_interval);
             const time_point now = runtime::boot_now();
+            end_silent_attempts(c, now);
             for (auto& [id, pool] : c.pools) {
                 close_expired(pool, now);
             }
