Watches stay open while no leader is heard; the first election after a start is shorter

Cause: after a power loss gateways opened each watch anew ten times a second until a leader was heard. Change: updates are held back and taken over once an instance hears a leader; a started node waits a third of the election timeout, the pre-vote protects a leader that others hear.

--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -17,6 +17,8 @@
 
 // Bytes of entries in one append request.
 constexpr std::size_t max_append_bytes = 1 << 20;
+// The first election timeout after a start is shorter by this factor.
+constexpr int first_election_divisor = 3;
 
 template <class Members>
 bool contains(const Members& members, node_id id) {
@@ -580,7 +582,10 @@
             n.log.entries.push_back(e);
         }
     }
+    // No leader is known after a start, so there is none to wait for long; the pre-vote keeps one
+    // that others hear.
     reset_election_deadline(n, now, rng);
+    n.election_deadline = now + (n.election_deadline - now) / first_election_divisor;
     return n;
 }
 
--- a/libs/gateway/src/site_client.cpp
+++ b/libs/gateway/src/site_client.cpp
@@ -85,6 +85,8 @@
     std::map<std::string, control_instance> instances;
     std::uint64_t known_version = 0;
     bool confirmed = false;
+    // Updates that arrived before any instance heard a leader.
+    std::vector<rpc::site_update> held_back;
     bool stopped = false;
     std::mt19937_64 rng{std::random_device{}()};
 
@@ -139,14 +141,18 @@
         for (const std::string& other : update.control_addresses()) {
             name(other, now);
         }
-        // An instance that hears no leader may be behind for long.
-        confirmed = confirmed || update.in_contact();
-        if (confirmed) {
-            known_version = std::max<std::uint64_t>(known_version, update.deployment().version());
-            taken(std::move(update));
-        } else {
-            // What it told now must be told again once it hears a leader.
-            lose(address, serial, "hears no leader");
+        // An instance that hears no leader may be behind for long: nothing is taken over before one
+        // was heard that does.
+        held_back.push_back(std::move(update));
+        confirmed = confirmed || held_back.back().in_contact();
+        if (!confirmed) {
+            return;
+        }
+        std::vector<rpc::site_update> ready;
+        ready.swap(held_back);
+        for (rpc::site_update& u : ready) {
+            known_version = std::max<std::uint64_t>(known_version, u.deployment().version());
+            taken(std::move(u));
         }
     }
 
