--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -28,8 +28,8 @@
     double stretched_stream_ms = 5.0;
     // Price of a long prompt where short streams run, and of a short one where long prompts are
     // read, in milliseconds.
-    double long_misplaced_ms = 400.0;
-    double short_misplaced_ms = 150.0;
+    double long_misplaced_ms = 120.0;
+    double short_misplaced_ms = 80.0;
     role_settings roles;
     // Time that a load of an adapter adds, in milliseconds.
     double adapter_cost_ms = 25.0;
