--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "control/site_protocol.h"
@@ -30,7 +31,9 @@
     std::string model;
     bool long_prompts = false;
 
-    auto operator<=>(const planned_kind&) const = default;
+    bool operator<(const planned_kind& other) const {
+        return std::tie(model, long_prompts) < std::tie(other.model, other.long_prompts);
+    }
 };
 
 struct demand_record {
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <tuple>
 
 #include "connection_pool.h"
 #include "dispatch/budget.h"
@@ -32,7 +33,10 @@
     std::string model;
     bool long_prompts = false;
 
-    auto operator<=>(const demand_key&) const = default;
+    bool operator<(const demand_key& other) const {
+        return std::tie(service, model, long_prompts) <
+               std::tie(other.service, other.model, other.long_prompts);
+    }
 };
 
 struct model_counts {
