A stopping gateway leaves long streams to others; requests wait for the first deployment

Change: what might outlast the grace time is refused at once with a time to come back; a gateway that has just started lets requests wait 0.9 s for its first deployment; kept connections carry bookings up to half of the upstream's idle time.

--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -46,10 +46,14 @@
 
 }  // namespace
 
+bool recently_used(const upstream_connection& c, time_point now) {
+    return now - c.idle_since <= c.keep_alive / 2;
+}
+
 connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now) {
     while (!pool.idle.empty()) {
         connection_ptr c = pool.idle.back();
-        if (recent_only && now - c->idle_since > recent_use) {
+        if (recent_only && !recently_used(*c, now)) {
             return nullptr;
         }
         pool.idle.pop_back();
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -41,13 +41,14 @@
 
 // --- Queries
 
-// The longest time a kept connection may have been idle to carry work that must not be repeated.
-inline constexpr duration recent_use = std::chrono::milliseconds(1200);
+// True if the upstream is far from closing `c` for idleness, so that work which must not be
+// repeated may go on it.
+[[nodiscard]] bool recently_used(const upstream_connection& c, time_point now);
 
 // --- Commands
 
-// A kept connection that is still open; empty if there is none. With `recent_only` it was used just
-// before, so that the upstream is not about to close it.
+// A kept connection that is still open; empty if there is none. With `recent_only` it was recently
+// used.
 [[nodiscard]] connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now);
 // Keeps a connection on which a whole answer has been read.
 void keep(connection_pool& pool, connection_ptr c, time_point now);
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "drain.h"
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -25,13 +26,13 @@
 constexpr duration come_back_soon = std::chrono::milliseconds(300);
 // Another gateway can take the request now.
 constexpr duration come_back_at_once = std::chrono::milliseconds(20);
-// Requests that arrive this long after the signal to stop are left to other gateways.
-constexpr duration late_drain = std::chrono::milliseconds(2200);
 // A request waits for a place only while an answer in time is still likely.
 constexpr double waiting_share = 0.6;
 constexpr duration wait_step = std::chrono::milliseconds(200);
 // A sidecar that does not answer is not asked again for this long.
 constexpr duration blocked_unreachable = std::chrono::milliseconds(800);
+// A gateway that has just started learns the deployment within this time, if control is there.
+constexpr duration first_deployment_patience = std::chrono::milliseconds(900);
 constexpr duration ensure_timeout = std::chrono::milliseconds(400);
 // The caller's clock started before the request arrived here.
 constexpr duration answer_margin = std::chrono::milliseconds(20);
@@ -279,22 +280,27 @@
     auto r = std::make_shared<request_state>();
     r->request = std::move(request);
     r->facts = c.protocol.read_request(r->request.headers);
+    while (!serves_deployment(c) && !caller.caller_left() &&
+           runtime::boot_now() - r->request.arrived < first_deployment_patience) {
+        co_await wait_for_change(c, wait_step);
+    }
     if (!serves_deployment(c)) {
         std::string reason = "no deployment is known here yet";
         co_await refuse(c, caller, *r, unavailable, std::move(reason), come_back_soon);
         co_return;
     }
-    if (c.draining && r->request.arrived - c.draining_since > late_drain) {
-        // It could outlast the grace time; nothing has been sent, so another gateway can take it.
-        std::string reason = "this gateway stops";
-        co_await refuse(c, caller, *r, unavailable, std::move(reason), come_back_at_once);
-        co_return;
-    }
     if (!route_request(c, *r)) {
         std::string reason = "no route matches";
         co_await refuse(c, caller, *r, not_found, std::move(reason), duration::zero());
         co_return;
     }
+    const duration since_stop = r->request.arrived - c.draining_since;
+    if (c.draining && outlasts_drain(since_stop, c.settings.grace, r->facts.needs.output_tokens)) {
+        // Nothing has been sent, so another gateway can take it.
+        std::string reason = "this gateway stops";
+        co_await refuse(c, caller, *r, unavailable, std::move(reason), come_back_at_once);
+        co_return;
+    }
     count_demand(c, *r);
     c.in_hand.push_back(r);
     caller.on_caller_left([r] {
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -224,7 +224,6 @@
     // hand. Nothing new is read once idle connections are closed.
     asio::awaitable<void> drain(std::function<void()> finished) {
         core& c = shared;
-        c.draining_since = runtime::boot_now();
         const time_point latest = c.draining_since + c.settings.grace - grace_margin;
         co_await runtime::sleep_for(rotation_delay);
         boost::system::error_code ignored;
@@ -307,6 +306,7 @@
 
 void gateway_server::stop(std::function<void()> finished) {
     core& c = state_->shared;
+    c.traffic.post([&c] { c.draining_since = runtime::boot_now(); });
     c.draining = true;
     log_event(severity::info, event::draining, {{"step", "not ready"}});
     runtime::spawn(c.traffic, [s = state_.get(), finished = std::move(finished)] {
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -4,6 +4,8 @@
 
 #include <random>
 
+#include "beacon_listener.h"
+#include "drain.h"
 #include "event_splitter.h"
 #include "exchange.h"
 #include "site_view.h"
@@ -117,3 +119,40 @@
     CHECK(header_in(headers, "absent").empty());
     CHECK_FALSE(same_name("ab", "abc"));
 }
+
+TEST_CASE("a stopping gateway takes only what surely ends in time") {
+    const duration grace = std::chrono::seconds(8);
+    const duration second = std::chrono::seconds(1);
+    // A stream of 292 tokens took 6.4 s beside long prompts and was cut at the end of the grace.
+    CHECK(outlasts_drain(second, grace, 292));
+    CHECK_FALSE(outlasts_drain(second, grace, 52));
+    CHECK_FALSE(outlasts_drain(second, grace, 0));
+    CHECK(outlasts_drain(3 * second, grace, 0));
+}
+
+TEST_CASE("a beacon speaks for the incarnation at its address only") {
+    site_view v;
+    (void)take_announcement(v, announce(5, 1), now);
+    schema::engine_beacon b;
+    b.set_born_ms(4);
+    b.set_running(7);
+    CHECK_FALSE(take_beacon(v, "10.0.0.1", b, now));
+    CHECK(v.upstreams.at("u").load.running == 0);
+    b.set_born_ms(5);
+    CHECK(take_beacon(v, "10.0.0.1", b, now));
+    CHECK(v.upstreams.at("u").load.running == 7);
+    CHECK(v.upstreams.at("u").models.empty());
+    CHECK_FALSE(take_beacon(v, "10.0.0.2", b, now));
+}
+
+TEST_CASE("an engine whose beacons end is known to be silent") {
+    site_view v;
+    (void)take_announcement(v, announce(5, 1), now);
+    dispatch::upstream& u = v.upstreams.at("u");
+    CHECK_FALSE(dispatch::load_is_stale(u, now));
+    dispatch::note_load(u, 0, 1, 3, now);
+    CHECK_FALSE(dispatch::load_is_stale(u, now + std::chrono::milliseconds(600)));
+    CHECK(dispatch::load_is_stale(u, now + std::chrono::milliseconds(1000)));
+    // Old words about its load count no longer.
+    CHECK(dispatch::running_at(u, now + std::chrono::milliseconds(600)) == u.in_flight);
+}
