--- a/libs/control/src/raft_host.h
+++ b/libs/control/src/raft_host.h
@@ -109,7 +109,8 @@
     void fail_storage(const storage::storage_error& e);
     // Opens the data folder again until the disk takes writes.
     void retry_storage();
-    void drop_state();
+    // Answers all reads in hand with failure.
+    void fail_waiting_reads();
     void send(const schema::raft_message& message);
     void answered(consensus::node_id peer, std::uint64_t generation);
     void install(const schema::snapshot& snapshot);
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -158,7 +158,7 @@
 
 enum class severity { debug, info, warning, error };
 
-// Sends log lines to `file`, or to standard error if it is empty. Call once, before any log_event.
+// Sends log lines to `file`, or to standard output if it is empty. Call once, before any log_event.
 void open_log(const std::string& program, const std::string& file, bool debug);
 
 // Writes one line. Safe from any thread.
--- a/libs/runtime/src/log.cpp
+++ b/libs/runtime/src/log.cpp
@@ -60,7 +60,7 @@
                         << " program=" << program << " pid=" << ::getpid() << " "
                         << expressions::smessage;
     if (file.empty()) {
-        logging::add_console_log(std::cerr, logging::keywords::format = format,
+        logging::add_console_log(std::cout, logging::keywords::format = format,
                                  logging::keywords::auto_flush = true);
     } else {
         logging::add_file_log(
--- a/libs/settings/include/settings/common.h
+++ b/libs/settings/include/settings/common.h
@@ -26,7 +26,7 @@
 
 // Where logs and spans go, and how much is logged.
 struct log_settings {
-    // Empty: standard error.
+    // Empty: standard output.
     std::string file;
     // Empty: no spans are written.
     std::string span_file;
