--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -310,7 +310,8 @@
 
 void settle(move_memory& m, const fleet_state& f, const move_settings& s, time_point now) {
     std::erase_if(m.orders, [&](const auto& item) {
-        const auto& [id, order] = item;
+        const std::string& id = item.first;
+        const order_under_way& order = item.second;
         const auto e = std::find_if(f.engines.begin(), f.engines.end(),
                                     [&](const engine_state& x) { return x.id == id; });
         if (e == f.engines.end()) {
--- a/libs/sidecar/src/server.cpp
+++ b/libs/sidecar/src/server.cpp
@@ -53,7 +53,7 @@
     if (!unload) {
         co_return ensure_step{ensure_status::blocked, "all places are in use"};
     }
-    const adapter_name victim = *unload;
+    const adapter_name& victim = *unload;
     const order_result ordered =
         co_await s.link.order(order_action::unload, victim, request.upstream(), seen);
     if (ordered == order_result::accepted) {
@@ -84,7 +84,7 @@
     if (seen->busy) {
         co_return ensure_step{ensure_status::blocked, "an order about a model is under way"};
     }
-    const engine_report basis = *seen;
+    const engine_report& basis = *seen;
     if (places_taken(basis) >= request.max_adapters()) {
         co_return co_await make_room(s, request, basis);
     }
@@ -175,7 +175,7 @@
         const adapter_name what{request.model(), ""};
         const order_action action =
             request.kind() == rpc::order_load ? order_action::load : order_action::unload;
-        const engine_report basis = *seen;
+        const engine_report& basis = *seen;
         const order_result ordered = co_await s.link.order(action, what, request.upstream(), basis);
         reply.set_status(status_of(ordered));
         reply.set_message(s.link.failure());
