Logs within a budget of bytes that never wait for their reader; programs end without teardown

Cause (logs): lines went through a blocking stream of standard output, unbounded; a stalled reader would have held every thread that logs. Change: a token bucket of bytes a second in which lines of served requests leave room to those of failed ones and these to changes of belief; what is left out is counted by event and told once a second; a descriptor is written only while it takes bytes at once. Setting log.bytes_per_second (64 KiB).

Cause (end): results of calls may arrive on gRPC's threads after the loops they are posted to are gone. Nothing needs teardown at the end of a process (files are synced when written), so it ends at once.

--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -436,7 +436,7 @@
     runtime::write_span(
         w.span, w.parent_span, "entry.request", w.received_wall_ns, runtime::wall_clock_ns(),
         {{"request.id", w.request_id}, {"target", w.target}, {"outcome", name_of(out.result)}});
-    log_event(out.result == outcome::completed ? severity::debug : severity::info,
+    log_event(out.result == outcome::completed ? severity::debug : severity::warning,
               event::request_ended,
               {{"request", w.request_id},
                {"target", w.target},
--- a/libs/program/include/program/program.h
+++ b/libs/program/include/program/program.h
@@ -1,6 +1,7 @@
 // The common frame of the server programs: flags, settings, logs, the wait for signals.
 #pragma once
 
+#include <cstdlib>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -45,7 +46,11 @@
         return status(exit_status::done);
     }
     const auto& s = value(loaded);
-    runtime::open_log(name, s.log.file, s.log.debug);
+    const runtime::log_options log{s.log.file, s.log.debug, s.log.bytes_per_second};
+    if (const auto failed = runtime::open_log(name, log)) {
+        std::cerr << *failed << "\n";
+        return status(exit_status::failed);
+    }
     runtime::open_spans(name, s.log.span_file);
     auto server = create(s);
     if (!succeeded(server)) {
@@ -72,7 +77,10 @@
         }
     };
     runtime::run_until_signal(actions);
-    return status(exit_status::done);
+    std::cout.flush();
+    // Calls in flight may still end on threads of gRPC and reach for loops that are being torn
+    // down: the process goes without tearing anything down. Files are synced when they are written.
+    std::_Exit(status(exit_status::done));
 }
 
 }  // namespace burdockdeck::program
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -158,10 +159,20 @@
 
 enum class severity { debug, info, warning, error };
 
-// Sends log lines to `file`, or to standard output if it is empty. Call once, before any log_event.
-void open_log(const std::string& program, const std::string& file, bool debug);
+struct log_options {
+    // Empty: standard output.
+    std::string file;
+    bool debug = false;
+    // Lines beyond this are left out and counted by event; above 0.
+    std::uint64_t bytes_per_second = 64 * 1024;
+};
+
+// Sends log lines on; returns what failed. Before it, log_event writes nothing. Call once.
+[[nodiscard]] std::optional<std::string> open_log(const std::string& program,
+                                                  const log_options& options);
 
-// Writes one line. Safe from any thread.
+// Writes one line, or leaves it out when the budget is used up or the reader does not read; never
+// waits for a reader. Safe from any thread.
 void log_event(severity s, event e, std::initializer_list<field> fields);
 
 // The line that log_event writes, without time and program.
--- a/libs/settings/include/settings/common.h
+++ b/libs/settings/include/settings/common.h
@@ -31,6 +31,9 @@
     // Empty: no spans are written.
     std::string span_file;
     bool debug = false;
+    // Lines beyond this are left out and counted. About 200 lines a second, which a busy instance
+    // writes for its requests.
+    std::uint64_t bytes_per_second = 64 * 1024;
 };
 
 [[nodiscard]] log_settings get_log_settings(map_reader& reader);
--- a/libs/settings/src/common.cpp
+++ b/libs/settings/src/common.cpp
@@ -85,6 +85,8 @@
     s.file = log.get_string("file", "");
     s.span_file = log.get_string("span_file", "");
     s.debug = log.get_flag("debug", false);
+    s.bytes_per_second = static_cast<std::uint64_t>(log.get_integer(
+        "bytes_per_second", 1024, 1'000'000'000, static_cast<std::int64_t>(s.bytes_per_second)));
     (void)log.finish();
     return s;
 }
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -60,7 +60,10 @@
         std::cerr << "--listen must be an IP number and a port\n";
         return 2;
     }
-    runtime::open_log("standin", "", false);
+    if (const auto failed = runtime::open_log("standin", {})) {
+        std::cerr << *failed << "\n";
+        return 1;
+    }
     runtime::loop_pool loops("traffic", static_cast<std::size_t>(FLAGS_threads));
     standins::engine_options options;
     options.memory_mb = FLAGS_memory_mb;
