A gateway that ends with a request in hand touches nothing that is gone

Cause: the loop was destroyed after the tables of its core, and dropping the coroutine of the request in hand wrote to them (in_flight_guard). Ruled out: the request's path itself; the address sanitizer shows the one use, in the guard's destructor under io_context's shutdown. Change: loops are the last members of core and go first; pooled sockets are closed before their loop.

--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -55,8 +55,6 @@
     caller_protocol protocol;
     runtime::rpc_access access;
     runtime::metrics metrics;
-    runtime::loop control{"control"};
-    runtime::loop traffic{"traffic"};
     site_view view;
     std::mt19937_64 rng{std::random_device{}()};
     // By upstream id.
@@ -76,6 +74,20 @@
     // Read by the loop that answers for readiness.
     std::atomic<bool> ready{false};
     std::atomic<bool> draining{false};
+
+    // Last, so that requests which are still in hand at the end find the rest when they are dropped
+    // with their loop.
+    runtime::loop control{"control"};
+    runtime::loop traffic{"traffic"};
+
+    ~core() {
+        control.stop();
+        traffic.stop();
+        // Sockets go before the loop that they belong to.
+        pools.clear();
+    }
+    core(const core&) = delete;
+    core& operator=(const core&) = delete;
 };
 
 }  // namespace burdockdeck::gateway
