--- a/libs/deployment/include/deployment/deployment.h
+++ b/libs/deployment/include/deployment/deployment.h
@@ -40,6 +40,9 @@
     duration objective{};
     // The longest pause between two events of a stream that is on time.
     duration longest_pause{};
+    // A caller leaves a stream that is silent for longer, also before its first event; zero if that
+    // is not known.
+    duration callers_patience{};
     // 0 is the most urgent.
     std::uint32_t priority = 0;
     // Upstreams that one attempt of a caller may be sent to.
--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -6,6 +6,7 @@
 
 #include "base/result.h"
 #include "base/time.h"
+#include "dispatch/admission.h"
 #include "dispatch/budget.h"
 #include "dispatch/choice.h"
 #include "settings/common.h"
@@ -32,6 +33,7 @@
     duration grace = std::chrono::seconds(8);
     dispatch::budget_settings budget;
     dispatch::choice_settings choice;
+    dispatch::admission_settings admission;
 };
 
 [[nodiscard]] result<gateway_settings, settings::settings_error> load_settings(
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "dispatch/admission.h"
 #include "drain.h"
 #include "request_state.h"
 #include "runtime/clock.h"
@@ -84,6 +85,21 @@
     c.waiting.erase(place);
 }
 
+// Refuses a request that has not been sent yet and would begin too late everywhere.
+asio::awaitable<bool> refuse_if_too_late(core& c, session& caller, request_state& r) {
+    const time_point now = runtime::boot_now();
+    const std::vector<dispatch::upstream*> all = upstreams_of(c.view, r.service);
+    const duration patience = std::min(r.route.callers_patience, time_left(r, now));
+    const auto away = dispatch::come_back_after(all, view_of(c, r), patience, c.settings.choice,
+                                                c.settings.admission, now);
+    if (!away) {
+        co_return false;
+    }
+    std::string reason = "its prompt would be read too late";
+    co_await refuse(c, caller, r, unavailable, std::move(reason), *away);
+    co_return true;
+}
+
 // The upstream for the next attempt. Waits while none can take the request, as long as an answer in
 // time is likely.
 asio::awaitable<std::optional<dispatch::choice>> next_upstream(core& c, session& caller,
@@ -308,12 +324,15 @@
             r->current->abort();
         }
     });
-    co_await go_on_until_answered(c, caller, *r);
+    if (!co_await refuse_if_too_late(c, caller, *r)) {
+        co_await go_on_until_answered(c, caller, *r);
+    }
     const duration took = runtime::boot_now() - r->request.arrived;
     c.metrics.observe(
         "burdockdeck_request_seconds", took,
         "route_kind=" + std::string(name_in(deployment::repeatability_names, r->route.kind)));
-    log_event(severity::info, event::request_ended,
+    const bool failed = !r->last_failure.empty() || caller.caller_left();
+    log_event(failed ? severity::warning : severity::info, event::request_ended,
               {{"request", r->facts.id},
                {"route", r->route.name},
                {"service", r->service},
--- a/libs/gateway/src/settings.cpp
+++ b/libs/gateway/src/settings.cpp
@@ -34,6 +34,14 @@
     return s;
 }
 
+dispatch::admission_settings get_admission(settings::map_reader& reader) {
+    settings::map_reader admission = reader.get_map("admission");
+    dispatch::admission_settings s;
+    s.patience_share = admission.get_number("patience_share", 0.01, 1000, s.patience_share);
+    (void)admission.finish();
+    return s;
+}
+
 }  // namespace
 
 result<gateway_settings, settings::settings_error> load_settings(const std::string& path) {
@@ -55,6 +63,7 @@
     s.grace = reader.get_milliseconds("grace_ms", 100, 3'600'000, 8000);
     s.budget = get_budget(reader);
     s.choice = get_choice(reader);
+    s.admission = get_admission(reader);
     if (const auto failed = reader.finish()) {
         return *failed;
     }
