--- a/libs/control/include/control/server.h
+++ b/libs/control/include/control/server.h
@@ -11,6 +11,10 @@
 #include "control/settings.h"
 #include "control/site_protocol.h"
 
+namespace burdockdeck::runtime {
+class rpc_access;
+}
+
 namespace burdockdeck::control {
 
 struct control_error {
@@ -34,6 +38,9 @@
 
 private:
     struct state;
+    // An instance of a site without a data folder: it serves its metrics and nothing else.
+    [[nodiscard]] static result<std::unique_ptr<control_server>, control_error> create_idle(
+        const control_settings& settings, const runtime::rpc_access& access);
     explicit control_server(std::unique_ptr<state> s);
     std::unique_ptr<state> state_;
 };
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -30,7 +30,7 @@
     } else if (path == "/healthz") {
         response.body = "ok\n";
     } else if (path == "/readyz") {
-        const bool ready = !i.raft->isolated();
+        const bool ready = i.raft != nullptr && !i.raft->isolated();
         response.status = ready ? 200 : 503;
         response.body = ready ? "ready\n" : "isolated: no leader in contact\n";
     } else {
@@ -54,6 +54,17 @@
     std::unique_ptr<runtime::http_server> site_http;
 };
 
+namespace {
+
+result<std::unique_ptr<runtime::http_server>, runtime::http_error> listen_for_operators(
+    const control_settings& settings, runtime::loop_pool& loops, instance& i) {
+    return runtime::http_server::listen(
+        settings.http_listen, loops, {},
+        [&i](runtime::http_exchange& e) { return answer_http(i, e); });
+}
+
+}  // namespace
+
 control_server::control_server(std::unique_ptr<state> s) : state_(std::move(s)) {}
 
 control_server::~control_server() {
@@ -74,6 +85,9 @@
     if (!succeeded(access)) {
         return control_error{to_text(error(access))};
     }
+    if (settings.data_folder.empty()) {
+        return create_idle(settings, value(access));
+    }
     storage::contents found;
     auto store = storage::store::open(settings.data_folder, found);
     if (!succeeded(store)) {
@@ -112,9 +126,7 @@
         return control_error{error(server).message};
     }
     s->server = std::move(value(server));
-    auto http =
-        runtime::http_server::listen(settings.http_listen, s->http_loops, {},
-                                     [&i](runtime::http_exchange& e) { return answer_http(i, e); });
+    auto http = listen_for_operators(settings, s->http_loops, i);
     if (!succeeded(http)) {
         return control_error{error(http).message};
     }
@@ -141,12 +153,29 @@
     return std::unique_ptr<control_server>(new control_server(std::move(s)));
 }
 
+// Without a disk nothing it acknowledged would last: callers find its other ports closed and go
+// elsewhere at once.
+result<std::unique_ptr<control_server>, control_error> control_server::create_idle(
+    const control_settings& settings, const runtime::rpc_access& access) {
+    auto s = std::make_unique<state>(settings, access);
+    auto http = listen_for_operators(settings, s->http_loops, s->shared);
+    if (!succeeded(http)) {
+        return control_error{error(http).message};
+    }
+    s->http = std::move(value(http));
+    log_event(severity::warning, event::started,
+              {{"name", settings.name}, {"idle", "there is no data folder"}});
+    return std::unique_ptr<control_server>(new control_server(std::move(s)));
+}
+
 void control_server::stop(std::function<void()> finished) {
     instance& i = state_->shared;
     i.loop.post([&i, this, finished = std::move(finished)] {
         i.stopping = true;
         end_watches(i, "this instance stops");
-        i.raft->stop();
+        if (i.raft) {
+            i.raft->stop();
+        }
         state_->http->stop_accepting();
         if (state_->site_http) {
             state_->site_http->stop_accepting();
--- a/libs/control/src/settings.cpp
+++ b/libs/control/src/settings.cpp
@@ -33,7 +33,9 @@
     s.listen = get_endpoint(reader, "listen");
     s.advertise = reader.has("advertise") ? get_endpoint(reader, "advertise") : s.listen;
     s.http_listen = get_endpoint(reader, "http_listen");
-    s.data_folder = reader.get_string("data_folder");
+    // An instance of a site may stand where there is no disk; it then takes no part.
+    s.data_folder = reader.has("site") ? reader.get_string("data_folder", "")
+                                       : reader.get_string("data_folder");
     s.access = get_access_settings(reader);
     s.log = get_log_settings(reader);
     s.agent_lease = reader.get_milliseconds("agent_lease_ms", 1000, 600'000, 5000);
