--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -56,11 +56,18 @@
 
 namespace {
 
-result<std::unique_ptr<runtime::http_server>, runtime::http_error> listen_for_operators(
-    const control_settings& settings, runtime::loop_pool& loops, instance& i) {
-    return runtime::http_server::listen(
-        settings.http_listen, loops, {},
-        [&i](runtime::http_exchange& e) { return answer_http(i, e); });
+// A busy port takes the metrics away, but not the instance. Empty then.
+std::unique_ptr<runtime::http_server> listen_for_operators(const control_settings& settings,
+                                                           runtime::loop_pool& loops, instance& i) {
+    auto http =
+        runtime::http_server::listen(settings.http_listen, loops, {},
+                                     [&i](runtime::http_exchange& e) { return answer_http(i, e); });
+    if (!succeeded(http)) {
+        log_event(severity::warning, event::access_refused,
+                  {{"listen", to_text(settings.http_listen)}, {"reason", error(http).message}});
+        return nullptr;
+    }
+    return std::move(value(http));
 }
 
 }  // namespace
@@ -126,11 +133,7 @@
         return control_error{error(server).message};
     }
     s->server = std::move(value(server));
-    auto http = listen_for_operators(settings, s->http_loops, i);
-    if (!succeeded(http)) {
-        return control_error{error(http).message};
-    }
-    s->http = std::move(value(http));
+    s->http = listen_for_operators(settings, s->http_loops, i);
     if (settings.site) {
         i.site = std::make_shared<site_state>();
         i.site->protocol = std::move(*protocol);
@@ -158,11 +161,7 @@
 result<std::unique_ptr<control_server>, control_error> control_server::create_idle(
     const control_settings& settings, const runtime::rpc_access& access) {
     auto s = std::make_unique<state>(settings, access);
-    auto http = listen_for_operators(settings, s->http_loops, s->shared);
-    if (!succeeded(http)) {
-        return control_error{error(http).message};
-    }
-    s->http = std::move(value(http));
+    s->http = listen_for_operators(settings, s->http_loops, s->shared);
     log_event(severity::warning, event::started,
               {{"name", settings.name}, {"idle", "there is no data folder"}});
     return std::unique_ptr<control_server>(new control_server(std::move(s)));
@@ -176,7 +175,9 @@
         if (i.raft) {
             i.raft->stop();
         }
-        state_->http->stop_accepting();
+        if (state_->http) {
+            state_->http->stop_accepting();
+        }
         if (state_->site_http) {
             state_->site_http->stop_accepting();
             end_site_watches(i);
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -280,10 +280,14 @@
     if (settings.metrics_listen.port != 0) {
         auto metrics =
             runtime::http_server::listen(settings.metrics_listen, s->platform_loops, {}, answer);
-        if (!succeeded(metrics)) {
-            return gateway_error{error(metrics).message};
+        if (succeeded(metrics)) {
+            s->metrics = std::move(value(metrics));
+        } else {
+            // Callers are served all the same.
+            log_event(
+                severity::warning, event::access_refused,
+                {{"listen", to_text(settings.metrics_listen)}, {"reason", error(metrics).message}});
         }
-        s->metrics = std::move(value(metrics));
     }
     state* shared = s.get();
     s->control = std::make_unique<site_client>(
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+// Price of an unload, beside those of loads in plan_state.h.
 constexpr double unload_cost = 0.12;
 // The most that the copies which stay may have to carry each.
 constexpr double bearable = 0.45;
@@ -19,6 +20,7 @@
 constexpr double ordered_share = 0.34;
 // Loads that a new planner may begin in its first window.
 constexpr std::size_t loads_of_new_planner = 3;
+// More would be planned on what the first ones change.
 constexpr std::size_t most_moves_a_round = 6;
 // Engines that are weighed for one more copy of a model: the least utilized ones, so that a round's
 // time grows with the engines and not with their square.
--- a/libs/placement/src/plan_state.h
+++ b/libs/placement/src/plan_state.h
@@ -18,7 +18,8 @@
 // Demand under this share of an engine does not keep a last copy from going.
 inline constexpr double idle_demand = 0.02;
 
-// The fleet as it will be once all orders are carried out.
+// The fleet as it will be once all orders are carried out. `held` and `utilization` go by the place
+// of an engine in `f.engines`; `used` holds engines that get no order in this round.
 struct plan_state {
     const fleet_state& f;
     const move_memory& m;
