--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -33,8 +33,7 @@
 constexpr double fall = 0.06;
 // Prompt tokens that an engine reads in a millisecond while a model's speed is not known.
 constexpr double usual_tokens_per_ms = 38;
-// Part of a prompt that is not kept yet, and prompt tokens that cost as much as one
-// output token.
+// Part of a prompt that is not kept yet, and prompt tokens that cost as much as one output token.
 constexpr double unkept_share = 0.5;
 constexpr double output_weight = 4;
 // Until demand has been seen for this long, each copy found stands for some.
@@ -140,19 +139,12 @@
                        [&](const auto& e) { return e.accepting && e.models.contains(model); });
 }
 
-// Engines that hold the model; while no engine holds anything, hosts that have its weights: after a
-// loss of power these tell what was in demand.
+// Engines that hold the model. One that holds nothing, as after a loss of power, stands for what
+// its host's disk holds: that tells what was in demand.
 std::size_t copies_in(const placement::fleet_state& f, const std::string& model) {
-    const bool all_empty = std::all_of(f.engines.begin(), f.engines.end(),
-                                       [](const auto& e) { return e.models.empty(); });
-    if (all_empty) {
-        return static_cast<std::size_t>(
-            std::count_if(f.engines.begin(), f.engines.end(),
-                          [&](const auto& e) { return e.copies.contains(model); }));
-    }
-    return static_cast<std::size_t>(
-        std::count_if(f.engines.begin(), f.engines.end(),
-                      [&](const auto& e) { return e.models.contains(model); }));
+    return static_cast<std::size_t>(std::count_if(
+        f.engines.begin(), f.engines.end(),
+        [&](const auto& e) { return (e.models.empty() ? e.copies : e.models).contains(model); }));
 }
 
 placement::model_demand demand_for(const instance& i, const placement::fleet_state& f,
--- a/libs/runtime/src/log.cpp
+++ b/libs/runtime/src/log.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/log/attributes/clock.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -111,13 +112,14 @@
 
 using descriptor_sink = logging::sinks::unlocked_sink<descriptor_backend>;
 
-// All below is guarded by `guard`: lines of several threads go out one after another.
+// All but `debug` is guarded by `guard`: lines of several threads go out one after another.
 struct log_state {
     std::mutex guard;
     logger source;
     boost::shared_ptr<descriptor_backend> backend;
     log_budget budget;
-    bool debug = false;
+    // Read without the guard, so that lines nobody wants are not even formatted.
+    std::atomic<bool> debug{false};
 };
 
 log_state& the_log() {
@@ -219,10 +221,13 @@
 
 void log_event(severity s, event e, std::initializer_list<field> fields) {
     log_state& log = the_log();
+    if (s == severity::debug && !log.debug) {
+        return;
+    }
     const std::string text = format_event(e, fields);
     const std::string_view name = name_in(event_names, e);
     const std::lock_guard<std::mutex> lock(log.guard);
-    if (log.backend == nullptr || (s == severity::debug && !log.debug)) {
+    if (log.backend == nullptr) {
         return;
     }
     const time_point now = boot_now();
