Gateway: log why an answer ended before it was complete

A caller saw its connection closed in the middle of a stream and the gateway's log could not tell who had ended it: attempt_failed had the socket's error only, request_ended the version in force at the end instead of the one routed by, and requests open at the process's exit left no line.

answer_cut has the cause, the limits, both versions, the time since the stop signal and the service's upstreams by obstacle. attempt_failed and request_refused say whether the answer had begun. request_ended logs the version that the request was routed by, as docs/OPERATIONS.md says.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -175,6 +175,10 @@
                {"sends", static_cast<std::uint64_t>(r.tried.size())},
                {"status", status},
                {"reason", r.last_failure},
+               {"cause", name_in(cut_cause_names, r.ending.cause)},
+               {"begun", r.head_sent ? "yes" : "no"},
+               {"age_ms", to_milliseconds(runtime::boot_now() - r.request.arrived)},
+               {"silence_ms", to_milliseconds(r.ending.silence)},
                {"left_ms", to_milliseconds(time_left(r, runtime::boot_now()))}});
 }
 
@@ -213,6 +217,7 @@
         const duration left = time_left(r, runtime::boot_now());
         if (left <= duration::zero()) {
             r.last_failure = "deadline reached while reading the stream";
+            record_ending(r, cut_cause::deadline, "", runtime::boot_now());
             break;
         }
         std::string bytes;
@@ -223,8 +228,13 @@
         }
         if (splitter.pending.size() > max_event_bytes) {
             r.last_failure = "event longer than the limit";
+            record_ending(r, cut_cause::answer_invalid, r.last_failure, runtime::boot_now());
             status = body_status::broken;
         }
+        if (status == body_status::broken) {
+            record_ending(r, e->timed_out() ? cut_cause::deadline : cut_cause::upstream_closed,
+                          e->failure(), runtime::boot_now());
+        }
         if (events.empty()) {
             continue;
         }
@@ -232,6 +242,7 @@
         record_event_time(r, runtime::boot_now());
         if (first) {
             first = false;
+            r.cut.reset();
             guard.prompt_read();
             const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
             count_outcome(guard, attempt_outcome::served,
@@ -242,6 +253,7 @@
             r.head_sent = true;
             const header_list headers = headers_to_return(e->headers());
             if (!co_await caller.begin(e->status(), headers)) {
+                record_ending(r, cut_cause::write_failed, caller.failure(), runtime::boot_now());
                 e->abort();
                 co_return attempt_end::finished;
             }
@@ -251,9 +263,11 @@
         }
         const std::string chunk = encode_chunk(events);
         if (!co_await caller.write(chunk)) {
+            record_ending(r, cut_cause::write_failed, caller.failure(), runtime::boot_now());
             e->abort();
             co_return attempt_end::finished;
         }
+        ++r.events_forwarded;
     }
     if (status == body_status::complete) {
         if (!r.head_sent) {
@@ -261,12 +275,17 @@
             const header_list headers = headers_to_return(e->headers());
             (void)co_await caller.begin(e->status(), headers);
         }
-        (void)co_await caller.finish();
+        if (!co_await caller.finish()) {
+            record_ending(r, cut_cause::write_failed, caller.failure(), runtime::boot_now());
+        }
         co_return attempt_end::finished;
     }
     if (r.last_failure.empty()) {
         r.last_failure = e->failure();
     }
+    if (!first) {
+        r.cut = r.ending;
+    }
     e->abort();
     count_outcome(guard, attempt_outcome::failed);
     co_return attempt_end::unknown;
@@ -288,6 +307,13 @@
         r.last_failure = e->failure().empty()
                              ? "answer longer than the limit or not complete before the deadline"
                              : e->failure();
+        const bool late = e->timed_out() || time_left(r, runtime::boot_now()) <= duration::zero();
+        const bool too_long = status == body_status::more && !late;
+        record_ending(r,
+                      late       ? cut_cause::deadline
+                      : too_long ? cut_cause::answer_invalid
+                                 : cut_cause::upstream_closed,
+                      e->failure(), runtime::boot_now());
         e->abort();
         count_outcome(guard, attempt_outcome::failed);
         co_return attempt_end::unknown;
@@ -363,6 +389,7 @@
     r.backlog_ms = dispatch::backlog_ms(*to.to, runtime::boot_now());
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
+    r.ending = {};
     std::string failure;
     connection_ptr connection = co_await acquire_connection(c, r, id, address, failure);
     if (connection == nullptr) {
@@ -399,6 +426,8 @@
     const send_status sent = co_await e->send(out, timeout);
     if (sent != send_status::answered) {
         r.last_failure = e->failure();
+        record_ending(r, e->timed_out() ? cut_cause::deadline : cut_cause::upstream_closed,
+                      e->failure(), runtime::boot_now());
         e->abort();
         if (!caller.caller_left()) {
             const dispatch::upstream* u = guard.find();
@@ -479,7 +508,11 @@
          {"reason", reason},
          {"sends", static_cast<std::uint64_t>(r.tried.size())},
          {"last_failure", r.last_failure},
+         {"begun", r.head_sent ? "yes" : "no"},
          {"version", c.view.current.version},
+         {"version_routed", r.version},
+         {"since_stop_ms", since_stop(c, runtime::boot_now())},
+         {"upstreams", count_obstacles(c, r, runtime::boot_now())},
          {"version_confirmed_ms_ago", to_milliseconds(runtime::boot_now() - c.view.confirmed_at)},
          {"age_ms", to_milliseconds(runtime::boot_now() - r.request.arrived)},
          {"come_back_ms", to_milliseconds(retry_after)}});
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -88,6 +88,10 @@
     return failure_;
 }
 
+bool exchange::timed_out() const {
+    return timed_out_;
+}
+
 std::optional<std::uint64_t> exchange::content_length() const {
     const auto length = parser_->content_length();
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
@@ -95,6 +99,7 @@
 
 void exchange::set_failure(std::string_view step, const boost::system::error_code& e) {
     failure_ = std::string(step) + ": " + e.message();
+    timed_out_ = e == beast::error::timeout;
 }
 
 asio::awaitable<bool> exchange::write(const outgoing_request& r, deadline until) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -55,6 +55,8 @@
     [[nodiscard]] const answer_facts& facts() const;
     // Why the last step failed.
     [[nodiscard]] const std::string& failure() const;
+    // True if it failed because its time-out passed.
+    [[nodiscard]] bool timed_out() const;
     // Empty if the answer does not state its length.
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
 
@@ -83,6 +85,7 @@
     header_list headers_;
     answer_facts facts_;
     std::string failure_;
+    bool timed_out_ = false;
     bool aborted_ = false;
 };
 
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -53,6 +53,7 @@
         return false;
     }
     r.route = *route;
+    r.version = c.view.current.version;
     std::uniform_real_distribution<double> draw(0, 1);
     r.service = deployment::service_of(*route, draw(c.rng));
     if (const auto* service = deployment::find_service(c.view.current, r.service)) {
@@ -69,18 +70,6 @@
     return true;
 }
 
-dispatch::request_view make_request_view(const core& c, const request_state& r) {
-    dispatch::request_view v;
-    v.needs = &r.facts.needs;
-    v.service = r.service;
-    v.failure_domain = c.settings.failure_domain;
-    v.tried = &r.tried;
-    v.unloading = &c.view.pending_unloads;
-    v.tokens_per_ms =
-        dispatch::speed_of(c.speeds, r.facts.needs.model, c.settings.choice.read_tokens_per_ms);
-    return v;
-}
-
 // Waits until the view changes or `longest` has passed.
 asio::awaitable<void> wait_for_view_change(core& c, duration longest) {
     asio::steady_timer timer(c.traffic.context(), longest);
@@ -329,11 +318,24 @@
 
 }  // namespace
 
+dispatch::request_view make_request_view(const core& c, const request_state& r) {
+    dispatch::request_view v;
+    v.needs = &r.facts.needs;
+    v.service = r.service;
+    v.failure_domain = c.settings.failure_domain;
+    v.tried = &r.tried;
+    v.unloading = &c.view.pending_unloads;
+    v.tokens_per_ms =
+        dispatch::speed_of(c.speeds, r.facts.needs.model, c.settings.choice.read_tokens_per_ms);
+    return v;
+}
+
 void abort_silent_attempts(core& c, time_point now) {
     c.open_requests.remove_if([](const std::weak_ptr<request_state>& r) { return r.expired(); });
     for (const std::weak_ptr<request_state>& weak_request : c.open_requests) {
         const std::shared_ptr<request_state> r = weak_request.lock();
         if (r && should_abandon_attempt(c, *r, now)) {
+            record_ending(*r, cut_cause::silence_limit, "", now);
             r->current->abort();
         }
     }
@@ -366,6 +368,7 @@
     count_demand(c, *r);
     c.open_requests.push_back(r);
     caller.on_caller_left([r] {
+        record_ending(*r, cut_cause::caller_left, "", runtime::boot_now());
         if (r->current) {
             r->current->abort();
         }
@@ -373,6 +376,9 @@
     if (!co_await refuse_if_too_late(c, caller, *r)) {
         co_await run_attempts(c, caller, *r);
     }
+    if (!caller.answered()) {
+        log_answer_cut(c, *r, r->cut.value_or(r->ending), caller.failure(), runtime::boot_now());
+    }
     const duration took = runtime::boot_now() - r->request.arrived;
     c.metrics.observe(
         "burdockdeck_request_seconds", took,
@@ -382,7 +388,7 @@
               {{"request", r->facts.id},
                {"route", r->route.name},
                {"service", r->service},
-               {"version", c.view.current.version},
+               {"version", r->version},
                {"upstream", r->tried.empty() ? "" : r->tried.back()},
                {"sends", static_cast<std::uint64_t>(r->tried.size())},
                {"took_ms", to_milliseconds(took)},
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "answer_cut.h"
 #include "dispatch/choice.h"
 #include "event_splitter.h"
 #include "exchange.h"
@@ -18,6 +20,8 @@
     caller_request request;
     request_facts facts;
     deployment::route route;
+    // Of the deployment that the request was routed by; 0 before.
+    std::uint64_t version = 0;
     std::string service;
     std::uint32_t max_connections = 0;
     std::uint64_t kv_tokens = 0;
@@ -33,6 +37,7 @@
     // Streams: whether the head was sent to the caller, and the events forwarded since.
     bool head_sent = false;
     event_splitter events;
+    std::uint32_t events_forwarded = 0;
     // Time from the request's arrival to the first event, and the longest gap between events.
     duration time_to_first_event{};
     duration longest_gap{};
@@ -48,6 +53,9 @@
     // When the current upstream last sent something, or when the request was sent to it.
     time_point last_progress_at{};
     std::string last_failure;
+    // How the current attempt ended, and how the last one that forwarded events did.
+    attempt_ending ending;
+    std::optional<attempt_ending> cut;
 };
 
 // How one attempt ended.
@@ -60,6 +68,8 @@
     unknown,
 };
 
+// What the choice of an upstream for `r` depends on; refers to `r`.
+[[nodiscard]] dispatch::request_view make_request_view(const core& c, const request_state& r);
 // The key under which the demand of `r` is counted.
 [[nodiscard]] demand_key demand_key_of(const core& c, const request_state& r);
 [[nodiscard]] duration time_left(const request_state& r, time_point now);
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "answer_cut.h"
 #include "beacon_listener.h"
 #include "core.h"
 #include "request.h"
@@ -267,6 +268,7 @@
             }
             co_await runtime::sleep_for(drain_check_interval);
         }
+        log_open_requests(c, runtime::boot_now());
         log_event(severity::info, event::draining,
                   {{"step", "closing"}, {"in_hand", c.active_requests}});
         finished();
--- a/libs/gateway/src/session.cpp
+++ b/libs/gateway/src/session.cpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cerrno>
+#include <cstring>
 
 #include "exchange.h"
 #include "request.h"
@@ -74,6 +75,14 @@
     return caller_closed_ || closed_;
 }
 
+bool session::answered() const {
+    return answered_;
+}
+
+const std::string& session::failure() const {
+    return failure_;
+}
+
 void session::on_caller_left(std::function<void()> handler) {
     on_caller_left_ = std::move(handler);
     if (caller_left() && on_caller_left_) {
@@ -109,6 +118,7 @@
             const bool alive = got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
             if (!alive) {
                 self->caller_closed_ = true;
+                self->failure_ = got == 0 ? "closed" : std::strerror(errno);
                 if (self->on_caller_left_) {
                     self->on_caller_left_();
                 }
@@ -237,6 +247,12 @@
     stream_.socket().close(ignored);
 }
 
+void session::record_failure(const boost::system::error_code& failed) {
+    if (failed && failure_.empty()) {
+        failure_ = failed.message();
+    }
+}
+
 std::string session::head_text(unsigned status, const header_list& headers,
                                std::optional<std::size_t> length) const {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
@@ -265,6 +281,7 @@
     stream_.expires_after(write_timeout);
     const auto [failed, sent] = co_await asio::async_write(stream_, parts, as_result);
     answered_ = !failed;
+    record_failure(failed);
     co_return !failed;
 }
 
@@ -275,6 +292,7 @@
     const std::string head = head_text(status, headers, std::nullopt);
     stream_.expires_after(write_timeout);
     const auto [failed, sent] = co_await asio::async_write(stream_, asio::buffer(head), as_result);
+    record_failure(failed);
     co_return !failed;
 }
 
@@ -282,6 +300,7 @@
     stream_.expires_after(write_timeout);
     const auto [failed, sent] =
         co_await asio::async_write(stream_, asio::buffer(bytes.data(), bytes.size()), as_result);
+    record_failure(failed);
     co_return !failed;
 }
 
--- a/libs/gateway/src/session.h
+++ b/libs/gateway/src/session.h
@@ -43,6 +43,10 @@
     // --- For the request being served
 
     [[nodiscard]] bool caller_left() const;
+    // True if the complete answer to the current request was written.
+    [[nodiscard]] bool answered() const;
+    // The error of the caller's connection; empty if there was none.
+    [[nodiscard]] const std::string& failure() const;
     // Sets the handler that is called when the caller closes its connection; replaces the previous
     // one. Called immediately if the connection is already closed.
     void on_caller_left(std::function<void()> handler);
@@ -59,6 +63,7 @@
     boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason);
     boost::asio::awaitable<bool> wait_for_bytes();
     void watch_caller();
+    void record_failure(const boost::system::error_code& failed);
     [[nodiscard]] std::string head_text(unsigned status, const header_list& headers,
                                         std::optional<std::size_t> length) const;
 
@@ -66,6 +71,7 @@
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_;
     std::function<void()> on_caller_left_;
+    std::string failure_;
     bool request_in_progress_ = false;
     bool caller_closed_ = false;
     bool keep_alive_ = true;
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -64,6 +64,7 @@
     settings_reloaded,
     draining,
     attempt_failed,
+    answer_cut,
     order_planned,
     order_failed,
     adapter_loaded,
@@ -81,7 +82,7 @@
     patch_failed,
 };
 
-inline constexpr name_table<event, 66> event_names{{
+inline constexpr name_table<event, 67> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -133,6 +134,7 @@
     {event::settings_reloaded, "settings_reloaded"},
     {event::draining, "draining"},
     {event::attempt_failed, "attempt_failed"},
+    {event::answer_cut, "answer_cut"},
     {event::order_planned, "order_planned"},
     {event::order_failed, "order_failed"},
     {event::adapter_loaded, "adapter_loaded"},
