Test: answers whose upstream falls silent, known red

Callers saw a begun stream closed although its upstream was about to go on. The gateway closes a silent upstream's connection because the request might be sent again, and only then looks for another upstream. If there is none (no other one has the model, it refuses the connection or the request), nothing is left to forward.

--- a/libs/gateway/tests/fixture.h
+++ b/libs/gateway/tests/fixture.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <atomic>
@@ -9,9 +10,9 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
 #include <future>
 #include <thread>
 
@@ -42,7 +43,11 @@
         return facts;
     };
     p.is_reserved = [](std::string_view) { return false; };
-    p.write_attempt_headers = [](header_list&, const attempt_header_values&) {};
+    p.write_attempt_headers = [](header_list& out, const attempt_header_values& v) {
+        if (v.last_event_id) {
+            out.emplace_back("Last-Event-Id", std::to_string(*v.last_event_id));
+        }
+    };
     p.read_answer = [](unsigned status, const header_list&) {
         answer_facts f;
         f.signed_by_upstream = true;
@@ -101,8 +106,38 @@
     [[nodiscard]] int requests() const {
         return requests_;
     }
+    // The head of the last request; to be called when no request is being read.
+    [[nodiscard]] std::string last_request() const {
+        return last_request_;
+    }
+    [[nodiscard]] time_point received_at() const {
+        return received_at_;
+    }
+    // When the gateway closed the connection before the answer was complete; the zero time if it
+    // did not.
+    [[nodiscard]] time_point closed_early_at() const {
+        return closed_early_at_;
+    }
 
 private:
+    // Waits for `d`; false if the gateway closes the connection meanwhile.
+    bool wait(tcp::socket& socket, milliseconds d) {
+        const time_point until = runtime::boot_now() + d;
+        while (runtime::boot_now() < until) {
+            if (stopping_) {
+                return false;
+            }
+            char byte = 0;
+            const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (got == 0 || (got < 0 && errno != EAGAIN)) {
+                closed_early_at_ = runtime::boot_now();
+                return false;
+            }
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        return true;
+    }
+
     void serve(const std::vector<piece>& pieces) {
         while (true) {
             tcp::socket socket(context_);
@@ -111,14 +146,18 @@
             if (stopping_ || failed) {
                 return;
             }
-            asio::streambuf head;
-            asio::read_until(socket, head, "\r\n\r\n", failed);
+            std::string head;
+            asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", failed);
             if (failed) {
                 continue;
             }
             ++requests_;
+            last_request_ = head;
+            received_at_ = runtime::boot_now();
             for (const piece& p : pieces) {
-                std::this_thread::sleep_for(p.after);
+                if (!wait(socket, p.after)) {
+                    break;
+                }
                 asio::write(socket, asio::buffer(p.bytes), failed);
                 if (failed) {
                     break;
@@ -131,6 +170,9 @@
     tcp::acceptor acceptor_;
     std::atomic<bool> stopping_{false};
     std::atomic<int> requests_{0};
+    std::string last_request_;
+    std::atomic<time_point> received_at_{};
+    std::atomic<time_point> closed_early_at_{};
     std::thread thread_;
 };
 
@@ -228,8 +270,27 @@
     std::unique_ptr<core> c;
 };
 
+inline std::size_t count_of(const std::string& text, std::string_view part) {
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+// True if `answer` has the events 1 to 4 in order, each once, and ends with the last chunk.
 inline bool is_whole_stream(const std::string& answer) {
-    return answer.find("id: 4\n") != std::string::npos && answer.ends_with("0\r\n\r\n");
+    std::size_t previous = 0;
+    for (int id = 1; id <= 4; ++id) {
+        const std::string line = "id: " + std::to_string(id) + "\n";
+        const std::size_t at = answer.find(line);
+        if (count_of(answer, line) != 1 || at < previous) {
+            return false;
+        }
+        previous = at;
+    }
+    return answer.starts_with("HTTP/1.1 200") && count_of(answer, "HTTP/1.1") == 1 &&
+           answer.ends_with("0\r\n\r\n");
 }
 
 }  // namespace burdockdeck::gateway
