Take no answer without the request's id for its answer

Callers of non-idempotent routes could be told 503, "not executed", for a request that an upstream runs, or the request was sent to a second upstream.

Cause: an answer without an echoed id counted as the answer to the request just sent. An upstream that writes an earlier refusal once more on a kept connection, without its id, was believed. Bytes that wait on an idle connection already closed it, and answers with another id were skipped; an answer without an id that arrives just after the next request was not.

Evidence, before the change:

test_faulty_answers.cpp:39: ERROR: CHECK( status_of(answer) == 200 ) is NOT correct! values: CHECK( 503 == 200 ) no upstream accepted the request: not executed by the upstream, status 503 test_faulty_answers.cpp:49: ERROR: CHECK( status_of(answer) == 502 ) is NOT correct! values: CHECK( 200 == 502 ) test_faulty_answers.cpp:50: ERROR: CHECK( upstreams.received().size() == 1 ) is NOT correct! values: CHECK( 2 == 1 )

Change: an answer must carry the request's id. On a connection that was used before, one without an id is skipped like one with another id; on a new connection the attempt ends with unknown outcome. If the caller sent no id, a refusal counts only on a new connection. The event `answer_skipped` names each skipped answer.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "runtime/log.h"
+
 namespace burdockdeck::gateway {
 
 namespace asio = boost::asio;
@@ -144,9 +146,21 @@
             headers_.emplace_back(f.name_string(), f.value());
         }
         facts_ = protocol_.read_answer(status(), headers_);
-        if (facts_.echoed_id.empty() || facts_.echoed_id == r.request_id) {
+        const bool first_on_connection = c_->requests == 1;
+        if (facts_.echoed_id == r.request_id) {
+            // Without an id, an earlier refusal cannot be told from one of this request.
+            facts_.not_run = facts_.not_run && (first_on_connection || !r.request_id.empty());
             co_return true;
         }
+        if (facts_.echoed_id.empty() && first_on_connection) {
+            failure_ = "received an answer without the request's id";
+            co_return false;
+        }
+        runtime::log_event(runtime::severity::info, runtime::event::answer_skipped,
+                           {{"request", r.request_id},
+                            {"answer_to", facts_.echoed_id},
+                            {"status", static_cast<std::uint64_t>(status())},
+                            {"requests_on_connection", c_->requests}});
         const bool skipped_answer = ++unrelated_answers <= max_unrelated_answers &&
                                     !parser_->need_eof() && co_await skip_body(until);
         if (!skipped_answer) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -46,8 +46,9 @@
     exchange(connection_ptr c, const caller_protocol& protocol)
         : c_(std::move(c)), protocol_(protocol) {}
 
-    // Sends the request and reads the head of its answer. Late answers to earlier requests, which
-    // carry another request id, are skipped.
+    // Sends the request and reads the head of its answer. Late answers to earlier requests are
+    // skipped: those with another request id, and those without one on a connection that was used
+    // before.
     boost::asio::awaitable<send_status> send(const outgoing_request& r, duration timeout);
 
     [[nodiscard]] unsigned status() const;
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -79,9 +79,10 @@
     deployment_fetched,
     fetch_failed,
     patch_failed,
+    answer_skipped,
 };
 
-inline constexpr name_table<event, 66> event_names{{
+inline constexpr name_table<event, 67> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -148,6 +149,7 @@
     {event::deployment_fetched, "deployment_fetched"},
     {event::fetch_failed, "fetch_failed"},
     {event::patch_failed, "patch_failed"},
+    {event::answer_skipped, "answer_skipped"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
--- a/libs/runtime/src/log.cpp
+++ b/libs/runtime/src/log.cpp
@@ -139,6 +139,7 @@
             return line_priority::served;
         case event::request_refused:
         case event::attempt_failed:
+        case event::answer_skipped:
         case event::attempt_retried:
         case event::attempt_resumed:
         case event::adapter_refused:
