Continue a begun stream only with an event stream

Callers found a second head, with an error's text or a JSON body, in the middle of their stream.

Cause: once the head of a stream was sent, only answers that are not 2xx were held back. A signed 2xx that is no event stream was forwarded like a call, with a head of its own.

Evidence, before the change (two cases, four of the answers):

test_faulty_answers.cpp:107: ERROR: CHECK( s.well_formed ) is NOT correct! logged: HTTP/1.1 200 OK Id: $ID Signature: s Content-Length: 4 oops test_faulty_answers.cpp:186: ERROR: CHECK( s.well_formed ) is NOT correct!

Errors, refusals, unsigned and encoded answers to a resumed stream were held back before, too; the test covers them.

Change: any answer but an event stream ends the attempt, counted as the upstream's failure, and the stream is resumed at another upstream or closed without its end.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -336,9 +336,13 @@
             return attempt_end::unknown;
         }
     }
-    if (r.head_sent && !success) {
-        // The caller already has the head of a successful answer, so another status cannot be sent.
-        r.last_failure = "stream resumption failed, status " + std::to_string(status);
+    if (r.head_sent && (!success || !is_stream(e))) {
+        // The caller has the head of an event stream, which no other answer can continue.
+        r.last_failure = "stream resumption failed, status " + std::to_string(status) +
+                         (success ? ", not an event stream" : "");
+        if (success) {
+            count_outcome(guard, attempt_outcome::failed);
+        }
         return attempt_end::unknown;
     }
     (void)to;
--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -4,6 +4,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <array>
+#include <cstdio>
+
 #include "faulty_upstream.h"
 
 using namespace burdockdeck;
@@ -22,6 +25,90 @@
     return "HTTP/1.1 503 Full\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
 }
 
+// Head of an event stream; `framing` is a header line, or empty if the stream ends with its
+// connection.
+std::string stream_head(const std::string& framing) {
+    return "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Type: text/event-stream\r\n" +
+           framing + "\r\n";
+}
+
+std::string event_with_id(int id) {
+    return "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
+}
+
+std::string events_with_ids(int first, int last) {
+    std::string out;
+    for (int id = first; id <= last; ++id) {
+        out += event_with_id(id);
+    }
+    return out;
+}
+
+std::string chunk_of(const std::string& bytes) {
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+const std::string last_chunk = "0\r\n\r\n";
+const std::string chunked = "Transfer-Encoding: chunked\r\n";
+
+// The decoded body of a chunked answer; `complete` is true if its last chunk arrived.
+struct caller_stream {
+    std::string events;
+    bool complete = false;
+    bool well_formed = true;
+};
+
+caller_stream stream_in(const std::string& answer) {
+    caller_stream out;
+    std::size_t at = answer.find("\r\n\r\n");
+    out.well_formed = at != std::string::npos && answer.find(chunked) < at;
+    at += 4;
+    while (out.well_formed && at < answer.size()) {
+        const std::size_t line_end = answer.find("\r\n", at);
+        const bool is_size = line_end != std::string::npos && line_end > at &&
+                             answer.find_first_not_of("0123456789abcdef", at) == line_end;
+        if (!is_size) {
+            out.well_formed = false;
+            break;
+        }
+        const std::size_t size = std::stoul(answer.substr(at, line_end - at), nullptr, 16);
+        out.events += answer.substr(line_end + 2, size);
+        at = line_end + 2 + size + 2;
+        if (size == 0) {
+            out.complete = true;
+            out.well_formed = at == answer.size();
+            break;
+        }
+    }
+    return out;
+}
+
+// A stream whose first upstream sends three events and breaks off, then gets `second` as the answer
+// to its second attempt; a third attempt serves the rest.
+caller_stream resume_after(const std::string& second, ending end = ending::close) {
+    const std::string begun = stream_head(chunked) + chunk_of(events_with_ids(0, 2));
+    const std::string rest = stream_head(chunked) + chunk_of(events_with_ids(3, 4)) + last_chunk;
+    const scripted_upstreams upstreams(3, {{begun, ending::close}, {second, end}, {rest}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const std::string answer = g.call("r1");
+    INFO(answer);
+    const std::vector<received_request> received = upstreams.received();
+    REQUIRE(received.size() >= 2);
+    CHECK(received[1].last_event_id == "2");
+    return stream_in(answer);
+}
+
+// Checks that the caller's stream is that of the first and the third upstream only.
+void check_unaffected(const std::string& second, ending end = ending::close) {
+    INFO(second);
+    const caller_stream s = resume_after(second, end);
+    CHECK(s.well_formed);
+    CHECK(s.complete);
+    CHECK(s.events == events_with_ids(0, 4));
+}
+
 unsigned status_of(const std::string& answer) {
     return answer.size() < 12 ? 0 : static_cast<unsigned>(std::stoul(answer.substr(9, 3)));
 }
@@ -67,3 +154,36 @@
     const std::string answer = g.call("r2");
     CHECK_MESSAGE(status_of(answer) == 200, answer);
 }
+
+// Guards against an error's text or head in the middle of a begun stream, and against a stream that
+// ends as complete there.
+TEST_CASE("no answer but a signed event stream continues a stream") {
+    const std::string signed_head = "Id: $ID\r\nSignature: s\r\n";
+    const std::string event_stream = "Content-Type: text/event-stream\r\n";
+    check_unaffected("HTTP/1.1 500 Error\r\n" + signed_head + "Content-Length: 4\r\n\r\noops");
+    check_unaffected("HTTP/1.1 404 No\r\n" + signed_head + "Content-Length: 4\r\n\r\noops");
+    check_unaffected("HTTP/1.1 500 Error\r\n" + signed_head + event_stream +
+                     "Content-Length: 10\r\n\r\ndata: e\n\n\n");
+    check_unaffected(refusal_of("$ID"));
+    check_unaffected("HTTP/1.1 200 OK\r\n" + signed_head + "Content-Length: 4\r\n\r\noops");
+    check_unaffected("HTTP/1.1 200 OK\r\n" + signed_head +
+                     "Content-Type: application/json\r\nContent-Length: 0\r\n\r\n");
+    check_unaffected("HTTP/1.1 204 None\r\n" + signed_head + "\r\n");
+    check_unaffected("HTTP/1.1 200 OK\r\nId: $ID\r\n" + event_stream + chunked + "\r\n" +
+                     chunk_of(events_with_ids(3, 4)) + last_chunk);
+    check_unaffected("HTTP/1.1 200 OK\r\n" + signed_head + event_stream + "Encoding: gzip\r\n" +
+                     chunked + "\r\n" + chunk_of("zipped") + last_chunk);
+}
+
+TEST_CASE("a begun stream that no upstream continues is not ended as complete") {
+    const std::string begun = stream_head(chunked) + chunk_of(events_with_ids(0, 2));
+    const std::string failed =
+        "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Length: 4\r\n\r\noops";
+    const scripted_upstreams upstreams(
+        3, {{begun, ending::close}, {failed, ending::close}, {failed, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(s.well_formed);
+    CHECK(!s.complete);
+    CHECK(s.events == events_with_ids(0, 2));
+}
