--- a/libs/gateway/tests/fixture.h
+++ b/libs/gateway/tests/fixture.h
@@ -50,6 +50,7 @@
     };
     p.read_answer = [](unsigned status, const header_list&) {
         answer_facts f;
+        f.echoed_id = "r1";
         f.signed_by_upstream = true;
         f.not_run = status == 503;
         return f;
--- a/libs/runtime/src/log.cpp
+++ b/libs/runtime/src/log.cpp
@@ -140,6 +140,7 @@
         case event::request_refused:
         case event::attempt_failed:
         case event::answer_cut:
+        case event::answer_skipped:
         case event::attempt_retried:
         case event::attempt_resumed:
         case event::adapter_refused:
