Gateway: leave a silent upstream only once another one has the request

Callers saw a stream closed in the middle of its 200 although its upstream was about to go on, and calls refused that their only upstream was about to answer.

Cause: an upstream that sent nothing for 1.1 s (calls: 0.45 s) lost its connection because the request might be sent again. Whether another upstream could take it was asked afterwards. If none had the model, refused the connection or the request, or the retry budget was spent meanwhile, the begun answer was closed.

If the silent one goes on first, the successor is left. Nothing is given up without a successor. The time that a slow caller takes to read no longer counts as the upstream's silence.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -29,12 +29,6 @@
 // An engine's prompt speed cannot be measured precisely enough with shorter prompts.
 constexpr std::uint32_t min_sample_tokens = 1000;
 constexpr double idle_backlog_ms = 4;
-// Minimum time without data from the upstream before an idempotent call is sent to another
-// upstream.
-constexpr duration min_call_silence = std::chrono::milliseconds(450);
-// Minimum time without data from the upstream before a stream is resumed at another upstream.
-constexpr duration min_stream_silence = std::chrono::milliseconds(1100);
-
 // Counts the request in the upstream's load and in the demand while the attempt lasts.
 struct in_flight_guard {
     core& c;
@@ -143,30 +137,6 @@
     }
 }
 
-// True if the request may be sent again in case the current attempt fails.
-bool may_send_again(core& c, const request_state& r) {
-    return r.repeatable && r.tried.size() < r.route.attempt_limit &&
-           dispatch::may_retry(c.budgets[r.service], c.settings.budget, c.view.gateways,
-                               runtime::boot_now());
-}
-
-asio::awaitable<connection_ptr> acquire_connection(core& c, const request_state& r, std::string id,
-                                                   std::string address, std::string& failure) {
-    const bool recent_only = !r.repeatable;
-    if (connection_ptr kept = take_idle(c.pools[id], recent_only, runtime::boot_now())) {
-        co_return kept;
-    }
-    c.metrics.count("burdockdeck_upstream_connections_total");
-    const settings::endpoint to = settings::parse_endpoint(address).value_or(settings::endpoint{});
-    const duration timeout = std::min(connect_timeout, time_left(r, runtime::boot_now()));
-    auto connected = co_await connect(c.traffic.context(), to, timeout);
-    if (!succeeded(connected)) {
-        failure = error(connected).message;
-        co_return nullptr;
-    }
-    co_return value(connected);
-}
-
 void log_failed_attempt(const request_state& r, const std::string& upstream,
                         std::string_view status) {
     log_event(severity::info, event::attempt_failed,
@@ -238,6 +208,9 @@
         if (events.empty()) {
             continue;
         }
+        withdraw_successor(r);
+        // While the caller is slow to read, the upstream is not silent.
+        r.awaits_upstream = false;
         r.last_progress_at = runtime::boot_now();
         record_event_time(r, runtime::boot_now());
         if (first) {
@@ -268,6 +241,8 @@
             co_return attempt_end::finished;
         }
         ++r.events_forwarded;
+        r.last_progress_at = runtime::boot_now();
+        r.awaits_upstream = true;
     }
     if (status == body_status::complete) {
         if (!r.head_sent) {
@@ -302,6 +277,7 @@
             break;
         }
         status = co_await e->read(answer.body, left);
+        r.last_progress_at = runtime::boot_now();
     }
     if (status != body_status::complete) {
         r.last_failure = e->failure().empty()
@@ -320,6 +296,7 @@
     }
     answer.status = e->status();
     answer.headers = headers_to_return(e->headers());
+    r.awaits_upstream = false;
     (void)co_await caller.respond(std::move(answer));
     co_return attempt_end::finished;
 }
@@ -382,48 +359,92 @@
     return r.finish_by - now;
 }
 
+bool may_send_again(core& c, const request_state& r) {
+    return r.repeatable && r.tried.size() < r.route.attempt_limit &&
+           dispatch::may_retry(c.budgets[r.service], c.settings.budget, c.view.gateways,
+                               runtime::boot_now());
+}
+
+asio::awaitable<connection_ptr> acquire_connection(core& c, const request_state& r, std::string id,
+                                                   std::string address, std::string& failure) {
+    const bool recent_only = !r.repeatable;
+    if (connection_ptr kept = take_idle(c.pools[id], recent_only, runtime::boot_now())) {
+        co_return kept;
+    }
+    c.metrics.count("burdockdeck_upstream_connections_total");
+    const settings::endpoint to = settings::parse_endpoint(address).value_or(settings::endpoint{});
+    const duration timeout = std::min(connect_timeout, time_left(r, runtime::boot_now()));
+    auto connected = co_await connect(c.traffic.context(), to, timeout);
+    if (!succeeded(connected)) {
+        failure = error(connected).message;
+        co_return nullptr;
+    }
+    co_return value(connected);
+}
+
+outgoing_request make_outgoing(const core& c, const request_state& r, const std::string& id) {
+    outgoing_request out;
+    out.method = r.request.method;
+    out.target = r.request.target;
+    out.headers =
+        headers_to_send(c, r, id, r.events.last_id ? r.events.last_id : r.facts.last_event_id);
+    out.body = &r.request.body;
+    out.request_id = r.facts.id;
+    return out;
+}
+
+void record_send_to(core& c, request_state& r, const std::string& id) {
+    dispatch::record_send(c.budgets[r.service], c.settings.budget, !r.tried.empty(),
+                          runtime::boot_now());
+    r.tried.push_back(id);
+    const auto found = c.view.upstreams.find(id);
+    if (found != c.view.upstreams.end()) {
+        dispatch::record_cached(found->second, r.facts.needs, r.kv_tokens);
+    }
+}
+
 asio::awaitable<attempt_end> attempt(core& c, session& caller, request_state& r,
-                                     dispatch::choice to) {
+                                     dispatch::choice to, std::shared_ptr<successor> prepared) {
     const std::string id = to.to->id;
     const std::string address = to.to->address;
     r.backlog_ms = dispatch::backlog_ms(*to.to, runtime::boot_now());
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
     r.ending = {};
-    std::string failure;
-    connection_ptr connection = co_await acquire_connection(c, r, id, address, failure);
-    if (connection == nullptr) {
-        r.last_failure = "connect: " + failure;
-        count_outcome(guard, attempt_outcome::unreachable);
-        log_failed_attempt(r, id, "not_sent");
-        co_return attempt_end::not_run;
-    }
-    if (caller.caller_left()) {
-        co_return attempt_end::finished;
+    std::shared_ptr<exchange> e;
+    if (prepared != nullptr) {
+        e = prepared->sent_on;
+    } else {
+        std::string failure;
+        connection_ptr connection = co_await acquire_connection(c, r, id, address, failure);
+        if (connection == nullptr) {
+            r.last_failure = "connect: " + failure;
+            count_outcome(guard, attempt_outcome::unreachable);
+            log_failed_attempt(r, id, "not_sent");
+            co_return attempt_end::not_run;
+        }
+        if (caller.caller_left()) {
+            co_return attempt_end::finished;
+        }
+        record_send_to(c, r, id);
+        e = std::make_shared<exchange>(connection, c.protocol);
     }
-    dispatch::record_send(c.budgets[r.service], c.settings.budget, !r.tried.empty(),
-                          runtime::boot_now());
-    r.tried.push_back(id);
     r.expected_ms = to.expected_ms;
     r.read_tokens = to.read_tokens;
     r.engine_was_idle = r.backlog_ms < idle_backlog_ms;
-    if (dispatch::upstream* u = guard.find()) {
-        dispatch::record_cached(*u, r.facts.needs, r.kv_tokens);
-    }
-    outgoing_request out;
-    out.method = r.request.method;
-    out.target = r.request.target;
-    out.headers =
-        headers_to_send(c, r, id, r.events.last_id ? r.events.last_id : r.facts.last_event_id);
-    out.body = &r.request.body;
-    out.request_id = r.facts.id;
-    auto e = std::make_shared<exchange>(connection, c.protocol);
-    connection.reset();
     r.current = e;
-    const time_point sent_at = runtime::boot_now();
-    const duration timeout = time_left(r, sent_at);
+    r.current_upstream = id;
+    r.awaits_upstream = true;
+    const time_point sent_at = prepared != nullptr ? prepared->sent_at : runtime::boot_now();
     r.last_progress_at = sent_at;
-    const send_status sent = co_await e->send(out, timeout);
+    send_status sent = send_status::not_sent;
+    if (prepared != nullptr) {
+        sent = co_await await_answer(prepared);
+    } else {
+        const outgoing_request out = make_outgoing(c, r, id);
+        const duration timeout = time_left(r, sent_at);
+        sent = co_await e->send(out, timeout);
+    }
     if (sent != send_status::answered) {
         r.last_failure = e->failure();
         record_ending(r, e->timed_out() ? cut_cause::deadline : cut_cause::upstream_closed,
@@ -461,6 +482,8 @@
         co_return *classified;
     }
     attempt_end end = attempt_end::finished;
+    r.last_progress_at = runtime::boot_now();
+    withdraw_successor(r);
     if (is_stream(*e)) {
         end = co_await forward_stream(c, caller, r, e, guard, sent_at, to.expected_ms);
     } else {
@@ -480,23 +503,6 @@
     co_return end;
 }
 
-bool should_abandon_attempt(core& c, const request_state& r, time_point now) {
-    if (r.current == nullptr || r.tried.empty() || !may_send_again(c, r)) {
-        return false;
-    }
-    const duration silence = now - r.last_progress_at;
-    if (r.facts.needs.model.empty()) {
-        return silence > std::max(min_call_silence, 3 * r.route.latency_objective);
-    }
-    if (r.last_event_at != time_point{}) {
-        return silence > std::max(min_stream_silence, 4 * r.route.max_event_gap);
-    }
-    const auto found = c.view.upstreams.find(r.tried.back());
-    const bool lost =
-        found == c.view.upstreams.end() || dispatch::load_is_stale(found->second, now);
-    return lost && silence > min_call_silence;
-}
-
 asio::awaitable<void> refuse(core& c, session& caller, request_state& r, unsigned status,
                              std::string reason, duration retry_after) {
     c.metrics.count("burdockdeck_requests_refused_total", "status=" + std::to_string(status));
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -1,6 +1,8 @@
 // Writes requests and reads answers with Beast's parsers, with limits on time and memory.
 #include "exchange.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -171,7 +173,7 @@
     // The answer is read even if the write failed: an upstream may answer and close before it has
     // read the whole request.
     const bool answered = co_await read_head(r, until);
-    if (!answered) {
+    if (!answered || aborted_) {
         co_return send_status::no_answer;
     }
     if (!written) {
@@ -196,6 +198,11 @@
     c_->stream.expires_at(until);
     const auto [failed, size] =
         co_await http::async_read_some(c_->stream, c_->buffer, *parser_, as_result);
+    if (aborted_) {
+        // Bytes read just before are not forwarded, since the request may go on elsewhere.
+        failure_ = "read body: closed by this gateway";
+        co_return body_status::broken;
+    }
     into.append(chunk.data(), chunk.size() - parser_->get().body().size);
     if (failed && failed != http::error::need_buffer) {
         set_failure("read body", failed);
@@ -204,6 +211,11 @@
     co_return parser_->is_done() ? body_status::complete : body_status::more;
 }
 
+bool exchange::has_unread_bytes() const {
+    char byte = 0;
+    return ::recv(c_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void exchange::abort() {
     aborted_ = true;
     boost::system::error_code ignored;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -63,6 +63,8 @@
     // Appends the next bytes of the body to `into`.
     boost::asio::awaitable<body_status> read(std::string& into, duration timeout);
 
+    // True if bytes of the answer have arrived that were not read yet.
+    [[nodiscard]] bool has_unread_bytes() const;
     // Closes the connection; reads in progress fail.
     void abort();
     // Releases and returns the connection if it can be used for another request; null otherwise.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -266,11 +266,13 @@
         if (time_left(r, runtime::boot_now()) <= duration::zero()) {
             break;
         }
-        const auto chosen = co_await next_upstream(c, caller, r);
+        const std::shared_ptr<successor> prepared = take_successor(r);
+        const auto chosen = prepared != nullptr ? std::optional(prepared->chosen)
+                                                : co_await next_upstream(c, caller, r);
         if (!chosen) {
             break;
         }
-        if (chosen->needs_adapter) {
+        if (prepared == nullptr && chosen->needs_adapter) {
             const dispatch::choice to = *chosen;
             if (!co_await ensure_adapter(c, r, to)) {
                 if (++unsent_attempts > max_unsent_attempts) {
@@ -287,9 +289,9 @@
         if (caller.caller_left()) {
             co_return;
         }
-        const std::size_t sends_before = r.tried.size();
+        const std::size_t sends_before = r.tried.size() - (prepared != nullptr ? 1 : 0);
         const dispatch::choice to = *chosen;
-        last = co_await attempt(c, caller, r, to);
+        last = co_await attempt(c, caller, r, to, prepared);
         r.current.reset();
         r.may_have_run = r.may_have_run || last == attempt_end::unknown;
         if (last == attempt_end::finished) {
@@ -298,7 +300,8 @@
         if (r.tried.size() == sends_before && ++unsent_attempts > max_unsent_attempts) {
             break;
         }
-        if (!may_try_again(c, r, last, sends_before)) {
+        const bool is_sent_on = r.successor != nullptr && r.successor->sent_on != nullptr;
+        if (!is_sent_on && !may_try_again(c, r, last, sends_before)) {
             break;
         }
         c.metrics.count("burdockdeck_attempts_repeated_total");
@@ -330,17 +333,6 @@
     return v;
 }
 
-void abort_silent_attempts(core& c, time_point now) {
-    c.open_requests.remove_if([](const std::weak_ptr<request_state>& r) { return r.expired(); });
-    for (const std::weak_ptr<request_state>& weak_request : c.open_requests) {
-        const std::shared_ptr<request_state> r = weak_request.lock();
-        if (r && should_abandon_attempt(c, *r, now)) {
-            record_ending(*r, cut_cause::silence_limit, "", now);
-            r->current->abort();
-        }
-    }
-}
-
 asio::awaitable<void> serve(core& c, session& caller, caller_request request) {
     auto r = std::make_shared<request_state>();
     r->request = std::move(request);
@@ -369,6 +361,7 @@
     c.open_requests.push_back(r);
     caller.on_caller_left([r] {
         record_ending(*r, cut_cause::caller_left, "", runtime::boot_now());
+        close_successor(*r);
         if (r->current) {
             r->current->abort();
         }
@@ -376,6 +369,7 @@
     if (!co_await refuse_if_too_late(c, caller, *r)) {
         co_await run_attempts(c, caller, *r);
     }
+    close_successor(*r);
     if (!caller.answered()) {
         log_answer_cut(c, *r, r->cut.value_or(r->ending), caller.failure(), runtime::boot_now());
     }
--- a/libs/gateway/src/request.h
+++ b/libs/gateway/src/request.h
@@ -11,7 +11,4 @@
 // the caller does not mistake the answer for a complete one.
 boost::asio::awaitable<void> serve(core& c, session& caller, caller_request r);
 
-// Aborts attempts whose upstream has stopped sending, so that the next attempt can start.
-void abort_silent_attempts(core& c, time_point now);
-
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -11,6 +11,7 @@
 #include "event_splitter.h"
 #include "exchange.h"
 #include "session.h"
+#include "takeover.h"
 
 namespace burdockdeck::gateway {
 
@@ -50,6 +51,12 @@
     bool engine_was_idle = false;
 
     std::shared_ptr<exchange> current;
+    // Id of the upstream that the current attempt was sent to.
+    std::string current_upstream;
+    // False while an event is being written to the caller.
+    bool awaits_upstream = false;
+    // Another upstream that the request is being sent to while the current one is silent.
+    std::shared_ptr<gateway::successor> successor;
     // When the current upstream last sent something, or when the request was sent to it.
     time_point last_progress_at{};
     std::string last_failure;
@@ -74,12 +81,22 @@
 [[nodiscard]] demand_key demand_key_of(const core& c, const request_state& r);
 [[nodiscard]] duration time_left(const request_state& r, time_point now);
 
-// Sends `r` to the upstream `to` and forwards the answer to the caller.
+// True if the request may be sent again in case the current attempt fails.
+[[nodiscard]] bool may_send_again(core& c, const request_state& r);
+// The request as it is sent to the upstream `id`; refers to `r`.
+[[nodiscard]] outgoing_request make_outgoing(const core& c, const request_state& r,
+                                             const std::string& id);
+// A connection to the upstream `id`; null if that failed, with the reason in `failure`.
+boost::asio::awaitable<connection_ptr> acquire_connection(core& c, const request_state& r,
+                                                          std::string id, std::string address,
+                                                          std::string& failure);
+// Counts one send of `r` to the upstream `id`.
+void record_send_to(core& c, request_state& r, const std::string& id);
+// Sends `r` to the upstream `to` and forwards the answer to the caller. If `prepared` is set, the
+// request has already been sent to it.
 boost::asio::awaitable<attempt_end> attempt(core& c, session& caller, request_state& r,
-                                            dispatch::choice to);
-// True if the current upstream has been silent beyond its limit and the request may be sent again.
-// A prompt that is queued at an engine whose load reports still arrive is not abandoned.
-[[nodiscard]] bool should_abandon_attempt(core& c, const request_state& r, time_point now);
+                                            dispatch::choice to,
+                                            std::shared_ptr<successor> prepared);
 // Answers the caller with an error, or closes the connection if the answer's head was sent. If
 // `retry_after` is positive, the answer tells the caller to retry after that time.
 boost::asio::awaitable<void> refuse(core& c, session& caller, request_state& r, unsigned status,
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -14,6 +14,7 @@
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "session.h"
+#include "takeover.h"
 
 namespace burdockdeck::gateway {
 
@@ -241,7 +242,7 @@
         while (true) {
             co_await runtime::sleep_for(maintenance_interval);
             const time_point now = runtime::boot_now();
-            abort_silent_attempts(c, now);
+            replace_silent_attempts(c, now);
             for (auto& [id, pool] : c.pools) {
                 close_expired(pool, now);
             }
--- a/libs/gateway/tests/fixture.h
+++ b/libs/gateway/tests/fixture.h
@@ -22,6 +22,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "session.h"
+#include "takeover.h"
 
 namespace burdockdeck::gateway {
 
@@ -221,7 +222,7 @@
     while (true) {
         asio::steady_timer timer(c.traffic.context(), check_interval);
         co_await timer.async_wait(asio::use_awaitable);
-        abort_silent_attempts(c, runtime::boot_now());
+        replace_silent_attempts(c, runtime::boot_now());
     }
 }
 
@@ -243,17 +244,7 @@
     // sent.
     std::string answer(const std::function<void()>& during = {}) {
         asio::io_context outside;
-        tcp::acceptor front(outside, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-        tcp::socket caller(outside);
-        caller.connect(front.local_endpoint());
-        tcp::socket accepted(c->traffic.context());
-        front.accept(accepted);
-        auto s = std::make_shared<session>(*c, std::move(accepted));
-        runtime::spawn(c->traffic, [s] { return s->run(); });
-        s.reset();
-        asio::write(caller,
-                    asio::buffer(std::string(
-                        "GET /a HTTP/1.1\r\nHost: maps.example\r\nConnection: close\r\n\r\n")));
+        tcp::socket caller = send_request(outside);
         if (during) {
             during();
         }
@@ -266,6 +257,30 @@
         }
         return all;
     }
+    // Sends one request and closes the connection after `during`.
+    void send_and_leave(const std::function<void()>& during) {
+        asio::io_context outside;
+        const tcp::socket caller = send_request(outside);
+        during();
+    }
+    // The caller's end of a new connection to the gateway.
+    tcp::socket connect_caller(asio::io_context& outside) {
+        tcp::acceptor front(outside, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        tcp::socket caller(outside);
+        caller.connect(front.local_endpoint());
+        tcp::socket accepted(c->traffic.context());
+        front.accept(accepted);
+        auto s = std::make_shared<session>(*c, std::move(accepted));
+        runtime::spawn(c->traffic, [s] { return s->run(); });
+        return caller;
+    }
+    tcp::socket send_request(asio::io_context& outside) {
+        tcp::socket caller = connect_caller(outside);
+        asio::write(caller,
+                    asio::buffer(std::string(
+                        "GET /a HTTP/1.1\r\nHost: maps.example\r\nConnection: close\r\n\r\n")));
+        return caller;
+    }
 
     std::unique_ptr<core> c;
 };
--- a/libs/gateway/tests/test_silent_upstreams.cpp
+++ b/libs/gateway/tests/test_silent_upstreams.cpp
@@ -3,6 +3,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include "fixture.h"
 
 using namespace burdockdeck;
@@ -202,3 +204,58 @@
     CHECK(runtime::boot_now() - began < std::chrono::seconds(1));
     CHECK(next.requests() == 1);
 }
+
+// Guards against events that are missing, repeated or joined when an upstream goes on or breaks off
+// at the moment of its replacement.
+TEST_CASE("streams stay whole whenever the silent upstream goes on or breaks off") {
+    const unsigned seed = 31;
+    MESSAGE("seed " << seed);
+    std::mt19937 rng(seed);
+    const auto draw = [&](int from, int to) {
+        return milliseconds(std::uniform_int_distribution<int>(from, to)(rng));
+    };
+    constexpr int rounds = 4;
+    constexpr int streams_per_round = 12;
+    for (int round = 0; round < rounds; ++round) {
+        std::vector<std::future<std::string>> answers;
+        for (int i = 0; i < streams_per_round; ++i) {
+            std::vector<piece> pieces = stream_with_pause(draw(1050, 1600));
+            if (i % 3 == 0) {
+                // The connection ends in place of the third event.
+                pieces[1].bytes.clear();
+                pieces.resize(2);
+            }
+            const milliseconds head_after = draw(0, 400);
+            answers.push_back(std::async(std::launch::async, [pieces, head_after] {
+                const scripted_upstream silent(pieces);
+                const scripted_upstream next({{head_after, stream_head + chunk(event(3))},
+                                              {milliseconds(20), chunk(event(4)) + "0\r\n\r\n"}});
+                fixture f(deployment::repeatability::streaming, "m");
+                f.add(make_lost_upstream("u1", silent.address(), "m"));
+                return f.answer([&] { add_later(f, make_upstream("u2", next.address(), "m")); });
+            }));
+        }
+        for (auto& a : answers) {
+            const std::string answer = a.get();
+            CAPTURE(answer);
+            CHECK(is_whole_stream(answer));
+        }
+    }
+}
+
+// Guards against work that goes on after its caller has left, at either upstream.
+TEST_CASE("both upstreams are left when the caller leaves during a takeover") {
+    const scripted_upstream silent(stream_with_pause(milliseconds(5000)));
+    const scripted_upstream next({{milliseconds(5000), stream_head + chunk(event(3))}});
+    fixture f(deployment::repeatability::streaming, "m");
+    f.add(make_lost_upstream("u1", silent.address(), "m"));
+    f.send_and_leave([&] {
+        add_later(f, make_upstream("u2", next.address(), "m"));
+        while (next.requests() == 0) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    CHECK(silent.closed_early_at() != time_point{});
+    CHECK(next.closed_early_at() != time_point{});
+}
