Treat a stream that ends inside an event as broken off

Callers received the torn rest of an event, and the stream ended as complete; of an upstream that stopped after the head of an answer without length they received an empty stream, complete.

Cause: when the body was complete, the bytes of the unfinished event were handed on with the last chunk. For an answer without length, the end of the body is the end of the connection, which is also what is seen of an upstream that stops.

Evidence, before the change (three cases):

test_faulty_answers.cpp:203: ERROR: CHECK( s.events == events_with_ids(0, 4) ) is NOT correct! test_faulty_answers.cpp:212: ERROR: CHECK( !s.complete ) is NOT correct! test_faulty_answers.cpp:213: ERROR: CHECK( s.events == events_with_ids(0, 2) ) is NOT correct! test_faulty_answers.cpp:247: ERROR: CHECK( s.events == events_with_ids(0, 4) ) is NOT correct!

Change: a stream that ends inside an event, or without length before its first event, has been broken off. It is resumed where the route allows it, and closed without its end otherwise. One without length that is closed after an event is complete; one that is reset is not, as before.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -202,6 +202,13 @@
     }
 }
 
+// True if a stream whose body has ended may be complete: it does not end inside an event, and one
+// that ends with its connection has at least one event.
+bool may_be_complete(const exchange& e, const event_splitter& s) {
+    const bool inside_event = s.pending.find_first_not_of("\r\n") != std::string::npos;
+    return !inside_event && (s.events > 0 || !e.ends_with_connection());
+}
+
 // Forwards complete events as they arrive.
 asio::awaitable<attempt_end> forward_stream(core& c, session& caller, request_state& r,
                                             std::shared_ptr<exchange> e, in_flight_guard& guard,
@@ -218,7 +225,11 @@
         std::string bytes;
         status = co_await e->read(bytes, left);
         std::string events = extract_events(splitter, bytes);
-        if (status == body_status::complete) {
+        if (status == body_status::complete && !may_be_complete(*e, splitter)) {
+            r.last_failure = splitter.events == 0 ? "stream ended before its first event"
+                                                  : "stream ended inside an event";
+            status = body_status::broken;
+        } else if (status == body_status::complete) {
             events += splitter.pending;
         }
         if (splitter.pending.size() > max_event_bytes) {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -95,6 +95,10 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+bool exchange::ends_with_connection() const {
+    return parser_->need_eof();
+}
+
 void exchange::set_failure(std::string_view step, const boost::system::error_code& e) {
     failure_ = std::string(step) + ": " + e.message();
 }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -59,6 +59,9 @@
     // Empty if the answer does not state its length.
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
 
+    // True if the answer states no length and is not chunked, so that it ends with its connection.
+    [[nodiscard]] bool ends_with_connection() const;
+
     // Appends the next bytes of the body to `into`.
     boost::asio::awaitable<body_status> read(std::string& into, duration timeout);
 
--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -187,3 +187,61 @@
     CHECK(!s.complete);
     CHECK(s.events == events_with_ids(0, 2));
 }
+
+// Guards against a stream that ends as complete although its upstream broke off inside an event.
+TEST_CASE("a stream that ends inside an event is resumed, whatever its framing") {
+    const std::string torn = events_with_ids(0, 2) + "id: 3\ndata: x";
+    const std::string rest = stream_head(chunked) + chunk_of(events_with_ids(3, 4)) + last_chunk;
+    const std::string length = "Content-Length: " + std::to_string(torn.size()) + "\r\n";
+    for (const std::string& begun : {stream_head("") + torn, stream_head(length) + torn,
+                                     stream_head(chunked) + chunk_of(torn) + last_chunk}) {
+        const scripted_upstreams upstreams(2, {{begun, ending::close}, {rest}});
+        gateway_under_test g(upstreams.ports(), repeatability::streaming);
+        const caller_stream s = stream_in(g.call("r1"));
+        CHECK(s.complete);
+        CHECK_MESSAGE(s.events == events_with_ids(0, 4), begun);
+    }
+}
+
+TEST_CASE("a stream that ends inside an event and cannot be resumed is not ended as complete") {
+    const std::string torn = stream_head("") + events_with_ids(0, 2) + "id: 3\ndata: x\n";
+    const scripted_upstreams upstreams(2, {{torn, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(!s.complete);
+    CHECK(s.events == events_with_ids(0, 2));
+    CHECK(upstreams.received().size() == 1);
+}
+
+TEST_CASE("a stream without length is complete if its connection is closed after an event") {
+    const std::string all = stream_head("") + events_with_ids(0, 4);
+    const scripted_upstreams upstreams(2, {{all, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(s.complete);
+    CHECK(s.events == events_with_ids(0, 4));
+    CHECK(upstreams.received().size() == 1);
+}
+
+TEST_CASE("a stream without length is broken off if its connection is reset after an event") {
+    const std::string begun = stream_head("") + events_with_ids(0, 2);
+    const std::string rest = stream_head("") + events_with_ids(3, 4);
+    const scripted_upstreams upstreams(2, {{begun, ending::reset}, {rest, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(s.complete);
+    CHECK(s.events == events_with_ids(0, 4));
+    CHECK(upstreams.received().size() == 2);
+}
+
+// Guards against an empty stream that ends as complete: an upstream that stops after the head of an
+// answer without length closes the connection as if the stream had ended.
+TEST_CASE("a stream without length that ends before its first event is broken off") {
+    const std::string rest = stream_head("") + events_with_ids(0, 4);
+    const scripted_upstreams upstreams(2,
+                                       {{stream_head(""), ending::close}, {rest, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(s.complete);
+    CHECK(s.events == events_with_ids(0, 4));
+}
