Test answers that are cut off, without length, or followed by more bytes

Callers must not receive a short answer framed as whole. Twelve cuts, within the head and the body, each with a close and with a reset; answers without length and of HTTP/1.0; bytes after an answer. All pass on the code as it is: the parser reports an end within the head as an error, and answers to calls are read completely before they are forwarded.

--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -245,3 +245,54 @@
     CHECK(s.complete);
     CHECK(s.events == events_with_ids(0, 4));
 }
+
+// Guards against a short answer framed as whole: the upstream stops within the head or the body.
+TEST_CASE("an answer that is cut off is not forwarded as a whole one") {
+    const std::string head = "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\n";
+    const std::vector<std::string> cut_answers{
+        "",
+        "HTTP/1.1 2",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Len",
+        head,
+        head + "\r",
+        head + "Content-Length: 4\r\n\r\n",
+        head + "Content-Length: 4\r\n\r\ndon",
+        head + chunked + "\r\n",
+        head + chunked + "\r\n" + "4\r\ndo",
+        head + chunked + "\r\n" + chunk_of("done"),
+        head + chunked + "\r\n" + chunk_of("done") + "0\r\n",
+    };
+    for (const std::string& cut : cut_answers) {
+        for (const ending end : {ending::close, ending::reset}) {
+            const scripted_upstreams upstreams(1, {{cut, end}});
+            gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+            const std::string answer = g.call("r1");
+            INFO(cut);
+            CHECK_MESSAGE(status_of(answer) == 502, answer);
+        }
+    }
+}
+
+TEST_CASE("an answer without length is whole if closed and not whole if reset") {
+    for (const std::string& version : {std::string("1.0"), std::string("1.1")}) {
+        const std::string bytes =
+            "HTTP/" + version + " 200 OK\r\nId: $ID\r\nSignature: s\r\n\r\ndone";
+        const scripted_upstreams upstreams(1, {{bytes, ending::close}, {bytes, ending::reset}});
+        gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+        const std::string whole = g.call("r1");
+        CHECK_MESSAGE(status_of(whole) == 200, whole);
+        CHECK(whole.find("Content-Length: 4\r\n") != std::string::npos);
+        CHECK(whole.ends_with("\r\n\r\ndone"));
+        const std::string reset = g.call("r2");
+        CHECK_MESSAGE(status_of(reset) == 502, reset);
+    }
+}
+
+TEST_CASE("a connection with bytes after a complete answer is not used again") {
+    const scripted_upstreams upstreams(1, {{served_call + "more"}, {served_call}});
+    gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+    CHECK(status_of(g.call("r1")) == 200);
+    const std::string answer = g.call("r2");
+    CHECK_MESSAGE(status_of(answer) == 200, answer);
+}
