Break off a resumed stream that repeats events

Callers received events twice, in a stream that ended as complete.

Cause: a resumed stream was forwarded whatever its events' ids, also if the upstream ignored the point of resumption or went back behind it.

Evidence, before the change (three answers):

test_faulty_answers.cpp:109: ERROR: CHECK( s.events == events_with_ids(0, 4) ) is NOT correct!

Change: an id in a resumed stream that is not higher than the one before ends that attempt before the event is forwarded; the stream is resumed elsewhere or closed without its end. Missing events cannot be seen from the ids, which need not be consecutive.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -214,6 +214,10 @@
                                             std::shared_ptr<exchange> e, in_flight_guard& guard,
                                             time_point sent_at, double expected_ms) {
     event_splitter splitter;
+    const bool resumed = r.head_sent;
+    if (resumed) {
+        splitter.last_id = r.events.last_id;
+    }
     bool first = true;
     body_status status = body_status::more;
     while (status == body_status::more) {
@@ -225,6 +229,11 @@
         std::string bytes;
         status = co_await e->read(bytes, left);
         std::string events = extract_events(splitter, bytes);
+        if (resumed && !splitter.ids_increase) {
+            r.last_failure = "resumed stream repeats events that were forwarded";
+            status = body_status::broken;
+            break;
+        }
         if (status == body_status::complete && !may_be_complete(*e, splitter)) {
             r.last_failure = splitter.events == 0 ? "stream ended before its first event"
                                                   : "stream ended inside an event";
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -51,6 +51,7 @@
             break;
         }
         if (const auto id = id_of(rest.substr(0, length))) {
+            s.ids_increase = s.ids_increase && (!s.last_id || *id > *s.last_id);
             s.last_id = id;
         }
         ++s.events;
--- a/libs/gateway/src/event_splitter.h
+++ b/libs/gateway/src/event_splitter.h
@@ -13,6 +13,8 @@
     std::string pending;
     // Id of the last complete event that had one.
     std::optional<std::uint64_t> last_id;
+    // False once an event's id was not higher than the one before.
+    bool ids_increase = true;
     std::uint64_t events = 0;
 };
 
--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -296,3 +296,11 @@
     const std::string answer = g.call("r2");
     CHECK_MESSAGE(status_of(answer) == 200, answer);
 }
+
+// Guards against events that a caller receives twice because the next upstream ignored the point of
+// resumption or had gone back in its stream.
+TEST_CASE("a resumed stream that repeats events is not continued") {
+    check_unaffected(stream_head(chunked) + chunk_of(events_with_ids(0, 4)) + last_chunk);
+    check_unaffected(stream_head(chunked) + chunk_of(events_with_ids(2, 4)) + last_chunk);
+    check_unaffected(stream_head("") + events_with_ids(2, 4));
+}
