Send no stream again whose last event has no id

Callers received a stream from its beginning once more, after events that they had.

Cause: a broken stream of a resumable route was sent again also if no upstream could know where to go on: without an id on the last forwarded event, the next attempt carried an older event's id, or none.

Evidence, before the change (two streams):

test_faulty_answers.cpp:319: ERROR: CHECK( !s.complete ) is NOT correct! test_faulty_answers.cpp:320: ERROR: CHECK( s.events == begun ) is NOT correct! test_faulty_answers.cpp:321: ERROR: CHECK( upstreams.received().size() == 1 ) is NOT correct! values: CHECK( 2 == 1 )

Change: events with data and without an id are counted; after one, the request is not repeatable, and neither is a silent attempt abandoned for another.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -145,7 +145,7 @@
 
 // True if the request may be sent again in case the current attempt fails.
 bool may_send_again(core& c, const request_state& r) {
-    return r.repeatable && r.tried.size() < r.route.attempt_limit &&
+    return is_repeatable(r) && r.tried.size() < r.route.attempt_limit &&
            dispatch::may_retry(c.budgets[r.service], c.settings.budget, c.view.gateways,
                                runtime::boot_now());
 }
@@ -269,6 +269,7 @@
         if (splitter.last_id) {
             r.events.last_id = splitter.last_id;
         }
+        r.events.events_without_id = splitter.events_without_id;
         const std::string chunk = encode_chunk(events);
         if (!co_await caller.write(chunk)) {
             e->abort();
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -29,6 +29,11 @@
     return std::nullopt;
 }
 
+bool has_data(std::string_view event) {
+    constexpr std::string_view data_field = "data";
+    return event.starts_with(data_field) || event.find("\ndata") != std::string_view::npos;
+}
+
 // Length of the first complete event including its empty line; 0 if none is complete.
 std::size_t first_event_length(std::string_view text) {
     const std::size_t lf_end = text.find("\n\n");
@@ -53,6 +58,9 @@
         if (const auto id = id_of(rest.substr(0, length))) {
             s.ids_increase = s.ids_increase && (!s.last_id || *id > *s.last_id);
             s.last_id = id;
+            s.events_without_id = 0;
+        } else if (has_data(rest.substr(0, length))) {
+            ++s.events_without_id;
         }
         ++s.events;
         complete_bytes += length;
--- a/libs/gateway/src/event_splitter.h
+++ b/libs/gateway/src/event_splitter.h
@@ -16,6 +16,9 @@
     // False once an event's id was not higher than the one before.
     bool ids_increase = true;
     std::uint64_t events = 0;
+    // Number of events with data since the last one that had an id: a stream cannot be resumed
+    // after them.
+    std::uint64_t events_without_id = 0;
 };
 
 // Adds `bytes` and returns the events that are now complete, byte for byte as received.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -242,7 +242,7 @@
 // not apply if that attempt ended before it sent the request: `sends_before` is the number of sends
 // before that attempt.
 bool may_try_again(core& c, const request_state& r, attempt_end end, std::size_t sends_before) {
-    if (end == attempt_end::unknown && !r.repeatable) {
+    if (end == attempt_end::unknown && !is_repeatable(r)) {
         return false;
     }
     if (r.tried.size() == sends_before) {
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -25,7 +25,7 @@
     // The earlier of the caller's deadline and the route's timeout, less a margin.
     time_point finish_by{};
     std::vector<std::string> tried;
-    // True if sending the request again has no additional effect.
+    // True if the route allows that the request is sent again, streams after their last event.
     bool repeatable = false;
     // True once an attempt ended with unknown outcome: the request may have been executed.
     bool may_have_run = false;
@@ -50,6 +50,12 @@
     std::string last_failure;
 };
 
+// True if sending the request again, after the events that were forwarded, has no additional
+// effect.
+[[nodiscard]] inline bool is_repeatable(const request_state& r) {
+    return r.repeatable && r.events.events_without_id == 0;
+}
+
 // How one attempt ended.
 enum class attempt_end {
     // The caller has the complete answer, has disconnected, or its connection was closed.
--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -304,3 +304,20 @@
     check_unaffected(stream_head(chunked) + chunk_of(events_with_ids(2, 4)) + last_chunk);
     check_unaffected(stream_head("") + events_with_ids(2, 4));
 }
+
+// Guards against events that a caller receives twice because its stream was started anew: without
+// the id of the last event, no upstream can continue after it.
+TEST_CASE("a stream whose last event has no id is not sent again") {
+    for (const std::string& begun :
+         {std::string("data: x0\n\n"), event_with_id(0) + "data: x1\n\n"}) {
+        const std::string all = stream_head(chunked) + chunk_of(events_with_ids(0, 4)) + last_chunk;
+        const scripted_upstreams upstreams(
+            2, {{stream_head(chunked) + chunk_of(begun), ending::close}, {all}});
+        gateway_under_test g(upstreams.ports(), repeatability::streaming);
+        const caller_stream s = stream_in(g.call("r1"));
+        CHECK(s.well_formed);
+        CHECK(!s.complete);
+        CHECK(s.events == begun);
+        CHECK(upstreams.received().size() == 1);
+    }
+}
