Use no HTTP client connection again on which bytes wait

Sidecars and agents could take an earlier answer, written once more by an engine, for the answer to their next call: an old report, or an order counted as done.

Cause: the client kept a connection whatever had arrived after the answer, and looked at nothing before it sent the next call.

Evidence, before the change:

test_http_client.cpp:143: ERROR: CHECK( value(answers[1]).body == "two" ) is NOT correct! values: CHECK( again == two ) test_http_client.cpp:142: FATAL ERROR: REQUIRE( succeeded(answers[1]) ) is NOT correct!

Change: a connection is kept only if nothing was read beyond the answer, and used again only if the peer has neither closed it nor sent anything. Not covered: a repeated answer that arrives after the next call was sent, since these calls carry no id.

Result: test_http_client and test_runtime pass.

--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -1,5 +1,8 @@
 // HTTP client with persistent connections to one endpoint and streamed answers.
+#include <sys/socket.h>
+
 #include <array>
+#include <cerrno>
 
 #include "http_common.h"
 
@@ -32,6 +35,25 @@
     return message;
 }
 
+// True if the peer has neither closed the connection nor sent bytes, which would belong to no
+// request.
+bool is_open_and_quiet(beast::tcp_stream& stream) {
+    char byte = 0;
+    const ssize_t got = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+stream_ptr take_idle(std::vector<stream_ptr>& idle) {
+    while (!idle.empty()) {
+        stream_ptr stream = std::move(idle.back());
+        idle.pop_back();
+        if (is_open_and_quiet(*stream)) {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
 }  // namespace
 
 struct http_client::state {
@@ -54,13 +76,9 @@
         stream.expires_at(
             std::min(deadline, std::chrono::steady_clock::now() + options.idle_timeout));
     };
-    stream_ptr stream;
-    bool reused = false;
-    if (!options.fresh_connection && !s->idle.empty()) {
-        stream = std::move(s->idle.back());
-        s->idle.pop_back();
-        reused = true;
-    } else {
+    stream_ptr stream = options.fresh_connection ? nullptr : take_idle(s->idle);
+    const bool reused = stream != nullptr;
+    if (!reused) {
         stream = std::make_unique<beast::tcp_stream>(s->event_loop.context());
         set_timeout(*stream);
         const auto [failed] = co_await stream->async_connect(to_asio(s->to), as_result);
@@ -110,7 +128,7 @@
         co_return http_error{false, "answer from " + to_text(s->to) +
                                         " has no length and is not chunked, so its end is unknown"};
     }
-    if (parser.get().keep_alive() && s->idle.size() < max_idle_connections &&
+    if (parser.get().keep_alive() && buffer.size() == 0 && s->idle.size() < max_idle_connections &&
         !options.fresh_connection) {
         stream->expires_never();
         s->idle.push_back(std::move(stream));
