--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -176,11 +176,22 @@
     }
 }
 
+// True if a stream whose body has ended may be complete: it does not end inside an event, and one
+// that ends with its connection has at least one event.
+bool may_be_complete(const exchange& e, const event_splitter& s) {
+    const bool inside_event = s.pending.find_first_not_of("\r\n") != std::string::npos;
+    return !inside_event && (s.events > 0 || !e.ends_with_connection());
+}
+
 // Forwards complete events as they arrive.
 asio::awaitable<attempt_end> forward_stream(core& c, session& caller, request_state& r,
                                             std::shared_ptr<exchange> e, in_flight_guard& guard,
                                             time_point sent_at, double expected_ms) {
     event_splitter splitter;
+    const bool resumed = r.head_sent;
+    if (resumed) {
+        splitter.last_id = r.events.last_id;
+    }
     bool first = true;
     body_status status = body_status::more;
     while (status == body_status::more) {
@@ -193,7 +204,16 @@
         std::string bytes;
         status = co_await e->read(bytes, left);
         std::string events = extract_events(splitter, bytes);
-        if (status == body_status::complete) {
+        if (resumed && !splitter.ids_increase) {
+            r.last_failure = "resumed stream repeats events that were forwarded";
+            status = body_status::broken;
+            break;
+        }
+        if (status == body_status::complete && !may_be_complete(*e, splitter)) {
+            r.last_failure = splitter.events == 0 ? "stream ended before its first event"
+                                                  : "stream ended inside an event";
+            status = body_status::broken;
+        } else if (status == body_status::complete) {
             events += splitter.pending;
         }
         if (splitter.pending.size() > max_event_bytes) {
@@ -234,6 +254,7 @@
         if (splitter.last_id) {
             r.events.last_id = splitter.last_id;
         }
+        r.events.events_without_id = splitter.events_without_id;
         const std::string chunk = encode_chunk(events);
         if (!co_await caller.write(chunk)) {
             record_ending(r, cut_cause::write_failed, caller.failure(), runtime::boot_now());
@@ -364,7 +385,7 @@
 }
 
 bool may_send_again(core& c, const request_state& r) {
-    return r.repeatable && r.tried.size() < r.route.attempt_limit &&
+    return is_repeatable(r) && r.tried.size() < r.route.attempt_limit &&
            dispatch::may_retry(c.budgets[r.service], c.settings.budget, c.view.gateways,
                                runtime::boot_now());
 }
--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -187,3 +187,137 @@
     CHECK(!s.complete);
     CHECK(s.events == events_with_ids(0, 2));
 }
+
+// Guards against a stream that ends as complete although its upstream broke off inside an event.
+TEST_CASE("a stream that ends inside an event is resumed, whatever its framing") {
+    const std::string torn = events_with_ids(0, 2) + "id: 3\ndata: x";
+    const std::string rest = stream_head(chunked) + chunk_of(events_with_ids(3, 4)) + last_chunk;
+    const std::string length = "Content-Length: " + std::to_string(torn.size()) + "\r\n";
+    for (const std::string& begun : {stream_head("") + torn, stream_head(length) + torn,
+                                     stream_head(chunked) + chunk_of(torn) + last_chunk}) {
+        const scripted_upstreams upstreams(2, {{begun, ending::close}, {rest}});
+        gateway_under_test g(upstreams.ports(), repeatability::streaming);
+        const caller_stream s = stream_in(g.call("r1"));
+        CHECK(s.complete);
+        CHECK_MESSAGE(s.events == events_with_ids(0, 4), begun);
+    }
+}
+
+TEST_CASE("a stream that ends inside an event and cannot be resumed is not ended as complete") {
+    const std::string torn = stream_head("") + events_with_ids(0, 2) + "id: 3\ndata: x\n";
+    const scripted_upstreams upstreams(2, {{torn, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(!s.complete);
+    CHECK(s.events == events_with_ids(0, 2));
+    CHECK(upstreams.received().size() == 1);
+}
+
+TEST_CASE("a stream without length is complete if its connection is closed after an event") {
+    const std::string all = stream_head("") + events_with_ids(0, 4);
+    const scripted_upstreams upstreams(2, {{all, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(s.complete);
+    CHECK(s.events == events_with_ids(0, 4));
+    CHECK(upstreams.received().size() == 1);
+}
+
+TEST_CASE("a stream without length is broken off if its connection is reset after an event") {
+    const std::string begun = stream_head("") + events_with_ids(0, 2);
+    const std::string rest = stream_head("") + events_with_ids(3, 4);
+    const scripted_upstreams upstreams(2, {{begun, ending::reset}, {rest, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(s.complete);
+    CHECK(s.events == events_with_ids(0, 4));
+    CHECK(upstreams.received().size() == 2);
+}
+
+// Guards against an empty stream that ends as complete: an upstream that stops after the head of an
+// answer without length closes the connection as if the stream had ended.
+TEST_CASE("a stream without length that ends before its first event is broken off") {
+    const std::string rest = stream_head("") + events_with_ids(0, 4);
+    const scripted_upstreams upstreams(2,
+                                       {{stream_head(""), ending::close}, {rest, ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const caller_stream s = stream_in(g.call("r1"));
+    CHECK(s.complete);
+    CHECK(s.events == events_with_ids(0, 4));
+}
+
+// Guards against a short answer framed as whole: the upstream stops within the head or the body.
+TEST_CASE("an answer that is cut off is not forwarded as a whole one") {
+    const std::string head = "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\n";
+    const std::vector<std::string> cut_answers{
+        "",
+        "HTTP/1.1 2",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Len",
+        head,
+        head + "\r",
+        head + "Content-Length: 4\r\n\r\n",
+        head + "Content-Length: 4\r\n\r\ndon",
+        head + chunked + "\r\n",
+        head + chunked + "\r\n" + "4\r\ndo",
+        head + chunked + "\r\n" + chunk_of("done"),
+        head + chunked + "\r\n" + chunk_of("done") + "0\r\n",
+    };
+    for (const std::string& cut : cut_answers) {
+        for (const ending end : {ending::close, ending::reset}) {
+            const scripted_upstreams upstreams(1, {{cut, end}});
+            gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+            const std::string answer = g.call("r1");
+            INFO(cut);
+            CHECK_MESSAGE(status_of(answer) == 502, answer);
+        }
+    }
+}
+
+TEST_CASE("an answer without length is whole if closed and not whole if reset") {
+    for (const std::string& version : {std::string("1.0"), std::string("1.1")}) {
+        const std::string bytes =
+            "HTTP/" + version + " 200 OK\r\nId: $ID\r\nSignature: s\r\n\r\ndone";
+        const scripted_upstreams upstreams(1, {{bytes, ending::close}, {bytes, ending::reset}});
+        gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+        const std::string whole = g.call("r1");
+        CHECK_MESSAGE(status_of(whole) == 200, whole);
+        CHECK(whole.find("Content-Length: 4\r\n") != std::string::npos);
+        CHECK(whole.ends_with("\r\n\r\ndone"));
+        const std::string reset = g.call("r2");
+        CHECK_MESSAGE(status_of(reset) == 502, reset);
+    }
+}
+
+TEST_CASE("a connection with bytes after a complete answer is not used again") {
+    const scripted_upstreams upstreams(1, {{served_call + "more"}, {served_call}});
+    gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+    CHECK(status_of(g.call("r1")) == 200);
+    const std::string answer = g.call("r2");
+    CHECK_MESSAGE(status_of(answer) == 200, answer);
+}
+
+// Guards against events that a caller receives twice because the next upstream ignored the point of
+// resumption or had gone back in its stream.
+TEST_CASE("a resumed stream that repeats events is not continued") {
+    check_unaffected(stream_head(chunked) + chunk_of(events_with_ids(0, 4)) + last_chunk);
+    check_unaffected(stream_head(chunked) + chunk_of(events_with_ids(2, 4)) + last_chunk);
+    check_unaffected(stream_head("") + events_with_ids(2, 4));
+}
+
+// Guards against events that a caller receives twice because its stream was started anew: without
+// the id of the last event, no upstream can continue after it.
+TEST_CASE("a stream whose last event has no id is not sent again") {
+    for (const std::string& begun :
+         {std::string("data: x0\n\n"), event_with_id(0) + "data: x1\n\n"}) {
+        const std::string all = stream_head(chunked) + chunk_of(events_with_ids(0, 4)) + last_chunk;
+        const scripted_upstreams upstreams(
+            2, {{stream_head(chunked) + chunk_of(begun), ending::close}, {all}});
+        gateway_under_test g(upstreams.ports(), repeatability::streaming);
+        const caller_stream s = stream_in(g.call("r1"));
+        CHECK(s.well_formed);
+        CHECK(!s.complete);
+        CHECK(s.events == begun);
+        CHECK(upstreams.received().size() == 1);
+    }
+}
