--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -206,6 +206,7 @@
         std::string events = extract_events(splitter, bytes);
         if (resumed && !splitter.ids_increase) {
             r.last_failure = "resumed stream repeats events that were forwarded";
+            record_ending(r, cut_cause::answer_invalid, r.last_failure, runtime::boot_now());
             status = body_status::broken;
             break;
         }
