--- /dev/null
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -0,0 +1,148 @@
+// Finds prompt parts that crash engines, and decides which requests to refuse because of them. Every
+// gateway keeps one table; tables are merged with those of the other gateways. A part is suspected
+// by the crashes that it was present at, and cleared by the answers that engines began on it.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/time.h"
+#include "dispatch/upstream.h"
+
+namespace burdockdeck::quarantine {
+
+// --- Bounds of a table
+
+inline constexpr std::size_t max_crashes = 256;
+// Distinct part lists of one crash.
+inline constexpr std::size_t max_lists = 64;
+inline constexpr std::size_t max_parts = 16;
+inline constexpr std::size_t max_proofs = 8192;
+
+// The id of a prompt part, as in `dispatch::prompt_part`.
+using part_id = std::uint64_t;
+
+// The shared parts of a request: all but the last. Sorted, unique, at most `max_parts`.
+using part_list = std::vector<part_id>;
+
+// One start of an engine.
+struct incarnation {
+    std::string upstream;
+    std::uint64_t born_ms = 0;
+    auto operator<=>(const incarnation&) const = default;
+};
+
+// One crash, however many requests it ended.
+// Invariant: `unanswered` is sorted and unique, at most `max_lists`, and no list is empty.
+struct crash_record {
+    incarnation engine;
+    // Rises when the incarnation is believed to have crashed again after a refuted crash.
+    std::uint32_t episode = 0;
+    // When the first gateway noticed it.
+    time_point at{};
+    // The shared parts of the requests that the engine had not begun to answer.
+    std::vector<part_list> unanswered;
+    // True once the incarnation has answered a request that was sent after `at`.
+    bool refuted = false;
+    // The revision of this table that last changed the record; not meaningful to other tables.
+    std::uint64_t revision = 0;
+};
+
+// The latest time when an engine began to answer a request with this part.
+struct proof {
+    part_id part = 0;
+    time_point at{};
+};
+
+// A set of parts that requests are refused for if they have all of them.
+struct suspicion {
+    part_list parts;
+    // Times of the crashes that the parts are blamed for, ascending.
+    std::vector<time_point> crashes;
+};
+
+struct proof_entry {
+    part_id part = 0;
+    time_point at{};
+    // What `proofs_since` last reported; 0 if the part is in no crash record.
+    time_point published_at{};
+    std::uint64_t revision = 0;
+};
+
+// Invariants: at most `max_crashes` crashes and `max_proofs` proofs, the latest answered first in
+// `proofs`; `proof_index` maps each part to its element; `suspect_count` has the parts of all
+// unrefuted crashes, each with the number of those crashes; `suspicions` is a function of crashes
+// and proofs.
+struct table {
+    std::map<incarnation, crash_record> crashes;
+    std::list<proof_entry> proofs;
+    std::unordered_map<part_id, std::list<proof_entry>::iterator> proof_index;
+    std::unordered_map<part_id, std::uint32_t> suspect_count;
+    std::vector<suspicion> suspicions;
+    // Rises with each change that other tables need to know.
+    std::uint64_t revision = 0;
+
+    table() = default;
+    // `proof_index` points into `proofs`.
+    table(const table&) = delete;
+    table& operator=(const table&) = delete;
+    table(table&&) = default;
+    table& operator=(table&&) = default;
+};
+
+struct verdict {
+    bool quarantined = false;
+    // Crashes that the request's parts are blamed for.
+    std::uint32_t crashes = 0;
+    // Time until the parts are tried again; positive only if quarantined.
+    duration remaining{};
+    // The parts that decided it.
+    part_list parts;
+};
+
+// --- Queries
+
+// The shared parts of `w`; empty if the request shares nothing.
+[[nodiscard]] part_list shared_parts(const dispatch::work& w);
+
+// Whether a request with `parts` is to be refused now.
+[[nodiscard]] verdict judge(const table& t, const part_list& parts, time_point now);
+
+// True if a request with `parts` that `engine` had not begun to answer may have crashed it, so that
+// it must not be sent to another engine. Call record_crash first.
+[[nodiscard]] bool may_be_cause(const table& t, const incarnation& engine, const part_list& parts,
+                                time_point now);
+
+// The crashes that changed after `revision`, for other tables.
+[[nodiscard]] std::vector<crash_record> changed_since(const table& t, std::uint64_t revision);
+
+// The proofs that changed after `revision`, for other tables: only for parts of unrefuted crashes,
+// and not every answer.
+[[nodiscard]] std::vector<proof> proofs_since(const table& t, std::uint64_t revision);
+
+// --- Commands
+
+// A request ended because `engine` crashed before it began to answer. All such requests of one
+// incarnation make one crash. A request without shared parts is not recorded.
+void record_crash(table& t, const incarnation& engine, const part_list& parts, time_point now);
+
+// `engine` sent the first event of its answer (or the whole answer) to a request sent at `sent_at`.
+// An answer's head alone is no proof: an engine may crash after it.
+void record_answer(table& t, const incarnation& engine, const part_list& parts, time_point sent_at,
+                   time_point now);
+
+// Adds what another table knows; `at` is in the time of this process. Idempotent and commutative;
+// true if something changed.
+bool merge(table& t, const crash_record& r);
+bool merge(table& t, const proof& p);
+
+// Forgets crashes that no longer matter.
+void expire(table& t, time_point now);
+
+}  // namespace burdockdeck::quarantine
--- /dev/null
+++ b/libs/quarantine/src/quarantine.cpp
@@ -0,0 +1,2 @@
+// Decisions of the quarantine.
+#include "quarantine/quarantine.h"
