Quarantine of prompt parts that crash engines: decisions

Each gateway records which shared parts were waiting at an engine that crashed, and on which parts engines began answers. Of the parts that were waiting, those present at most crashes are blamed, unless an answer clears them; two crashes quarantine a part for 10 s, more for longer. Tables merge in any order.

--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -1,6 +1,7 @@
-// Finds prompt parts that crash engines, and decides which requests to refuse because of them. Every
-// gateway keeps one table; tables are merged with those of the other gateways. A part is suspected
-// by the crashes that it was present at, and cleared by the answers that engines began on it.
+// Finds prompt parts that crash engines, and decides which requests to refuse because of them.
+// Every gateway keeps one table; tables are merged with those of the other gateways. A part is
+// suspected by the crashes that it was present at, and cleared by the answers that engines began on
+// it.
 #pragma once
 
 #include <compare>
@@ -60,35 +61,49 @@
     time_point at{};
 };
 
-// A set of parts that requests are refused for if they have all of them.
-struct suspicion {
-    part_list parts;
-    // Times of the crashes that the parts are blamed for, ascending.
-    std::vector<time_point> crashes;
-};
-
 struct proof_entry {
     part_id part = 0;
     time_point at{};
-    // What `proofs_since` last reported; 0 if the part is in no crash record.
+    // What `proofs_since` last reported; the epoch if the part has been in no crash.
     time_point published_at{};
     std::uint64_t revision = 0;
 };
 
-// Invariants: at most `max_crashes` crashes and `max_proofs` proofs, the latest answered first in
-// `proofs`; `proof_index` maps each part to its element; `suspect_count` has the parts of all
-// unrefuted crashes, each with the number of those crashes; `suspicions` is a function of crashes
-// and proofs.
+// The unrefuted crashes that a part was present at.
+struct presence {
+    std::uint32_t crashes = 0;
+    time_point latest{};
+};
+
+// A crash and the parts that explain it best.
+struct suspected_crash {
+    incarnation engine;
+    time_point at{};
+    part_list blamed;
+};
+
+// Parts of one request that are blamed together: only requests that have all of them are suspected.
+struct suspicion {
+    part_list parts;
+    // Indexes in `suspected`, ascending.
+    std::vector<std::uint32_t> crashes;
+};
+
+// Invariants: at most `max_crashes` crashes and `max_proofs` proofs, the last updated first in
+// `proofs`; `proof_index` maps each part to its element; `present`, `suspected` and `suspicions`
+// are functions of crashes and proofs.
 struct table {
     std::map<incarnation, crash_record> crashes;
     std::list<proof_entry> proofs;
     std::unordered_map<part_id, std::list<proof_entry>::iterator> proof_index;
-    std::unordered_map<part_id, std::uint32_t> suspect_count;
+    std::unordered_map<part_id, presence> present;
+    std::vector<suspected_crash> suspected;
     std::vector<suspicion> suspicions;
     // Rises with each change that other tables need to know.
     std::uint64_t revision = 0;
 
     table() = default;
+    ~table() = default;
     // `proof_index` points into `proofs`.
     table(const table&) = delete;
     table& operator=(const table&) = delete;
@@ -133,7 +148,7 @@
 void record_crash(table& t, const incarnation& engine, const part_list& parts, time_point now);
 
 // `engine` sent the first event of its answer (or the whole answer) to a request sent at `sent_at`.
-// An answer's head alone is no proof: an engine may crash after it.
+// Refusals, errors and an answer's head alone are no proof: an engine may crash after them.
 void record_answer(table& t, const incarnation& engine, const part_list& parts, time_point sent_at,
                    time_point now);
 
--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -1,2 +1,453 @@
-// Decisions of the quarantine.
+// Crash records and proofs, and the parts that explain the crashes best. What a request is judged
+// by is computed when records or proofs change, not for each request.
 #include "quarantine/quarantine.h"
+
+#include <algorithm>
+#include <array>
+#include <iterator>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "base/checksum.h"
+
+namespace burdockdeck::quarantine {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// An answer clears its parts of crashes that follow within this time.
+constexpr duration proof_validity = 30s;
+// A part that was answered before has become deadly if this many crashes with it, over at least
+// this time, follow its last answer. Many engines lost at the same moment are no such sign.
+constexpr std::size_t min_crashes_after_answer = 4;
+constexpr duration min_span_after_answer = 2s;
+// Crashes this close may have a common cause outside the engines. If there are at least
+// `min_common_crashes` of them, they count only for parts present at enough of them.
+constexpr duration common_cause_window = 1s;
+constexpr std::size_t min_common_crashes = 4;
+constexpr std::size_t min_common_share_divisor = 4;
+
+constexpr std::uint32_t min_crashes_to_quarantine = 2;
+// Quarantine after the latest crash, for 2, 3, 4 and more crashes.
+constexpr std::array<duration, 4> quarantine_times{10s, 30s, 2min, 10min};
+
+// An answer later than this after a crash may come from the next start of the engine, before that
+// start is announced.
+constexpr duration refutation_window = 2s;
+constexpr duration proof_publish_interval = 1s;
+// Longer than the longest quarantine, so that a crash right after it prolongs it at once.
+constexpr duration crash_lifetime = 30min;
+
+bool includes(const part_list& all, const part_list& wanted) {
+    return std::includes(all.begin(), all.end(), wanted.begin(), wanted.end());
+}
+
+part_list common_parts(const part_list& a, const part_list& b) {
+    part_list out;
+    std::set_intersection(a.begin(), a.end(), b.begin(), b.end(), std::back_inserter(out));
+    return out;
+}
+
+part_list normalized(part_list parts) {
+    std::sort(parts.begin(), parts.end());
+    parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+    parts.resize(std::min(parts.size(), max_parts));
+    return parts;
+}
+
+std::set<part_id> parts_of(const crash_record& r) {
+    std::set<part_id> all;
+    for (const part_list& parts : r.unanswered) {
+        all.insert(parts.begin(), parts.end());
+    }
+    return all;
+}
+
+// Pseudo-random rank of a list among those of one crash, equal in all processes.
+std::uint64_t rank_of(const incarnation& engine, const part_list& parts) {
+    running_checksum sum;
+    sum.update(engine.upstream);
+    sum.update(std::to_string(engine.born_ms));
+    for (const part_id p : parts) {
+        sum.update("/");
+        sum.update(std::to_string(p));
+    }
+    return sum.value();
+}
+
+// Adds a list and keeps the `max_lists` of lowest rank, so that the result does not depend on the
+// order of additions. True if the record changed.
+bool add_list(crash_record& r, const part_list& parts) {
+    if (parts.empty()) {
+        return false;
+    }
+    const auto at = std::lower_bound(r.unanswered.begin(), r.unanswered.end(), parts);
+    if (at != r.unanswered.end() && *at == parts) {
+        return false;
+    }
+    r.unanswered.insert(at, parts);
+    if (r.unanswered.size() <= max_lists) {
+        return true;
+    }
+    const auto last = std::max_element(r.unanswered.begin(), r.unanswered.end(),
+                                       [&](const part_list& a, const part_list& b) {
+                                           return rank_of(r.engine, a) < rank_of(r.engine, b);
+                                       });
+    const bool changed = *last != parts;
+    r.unanswered.erase(last);
+    return changed;
+}
+
+// --- What the crashes say
+
+// The evidence about one part.
+struct evidence {
+    // Times of the unrefuted crashes that the part was present at, ascending.
+    std::vector<time_point> present_at;
+    std::optional<time_point> answered_at;
+    // True if the crashes since the last answer outweigh it.
+    bool turned_deadly = false;
+    // Crashes that the part is neither cleared of nor too rare to explain.
+    std::uint32_t unexplained = 0;
+};
+
+std::size_t count_within(const std::vector<time_point>& ascending, time_point at, duration d) {
+    const auto first = std::lower_bound(ascending.begin(), ascending.end(), at - d);
+    const auto last = std::upper_bound(ascending.begin(), ascending.end(), at + d);
+    return static_cast<std::size_t>(last - first);
+}
+
+bool has_turned_deadly(const evidence& e) {
+    if (!e.answered_at) {
+        return false;
+    }
+    const auto first = std::upper_bound(e.present_at.begin(), e.present_at.end(), *e.answered_at);
+    const auto count = static_cast<std::size_t>(e.present_at.end() - first);
+    return count >= min_crashes_after_answer &&
+           e.present_at.back() - *first >= min_span_after_answer;
+}
+
+bool is_cleared(const evidence& e, time_point crash_at) {
+    if (!e.answered_at) {
+        return false;
+    }
+    return *e.answered_at > crash_at ||
+           (crash_at - *e.answered_at <= proof_validity && !e.turned_deadly);
+}
+
+// True if crashes at about the same time make it unlikely that this part caused the one at
+// `crash_at`; `all` are the times of all unrefuted crashes.
+bool has_common_cause(const evidence& e, const std::vector<time_point>& all, time_point crash_at) {
+    const std::size_t around = count_within(all, crash_at, common_cause_window);
+    return around >= min_common_crashes &&
+           count_within(e.present_at, crash_at, common_cause_window) * min_common_share_divisor <
+               around;
+}
+
+// Order of blame: the part with more crashes explains more; of equals, the one without an answer.
+std::pair<std::uint32_t, bool> weight_of(const evidence& e) {
+    return {e.unexplained, !e.turned_deadly};
+}
+
+// Recomputes what requests are judged by.
+void update_suspicions(table& t) {
+    t.present.clear();
+    t.suspected.clear();
+    t.suspicions.clear();
+    std::vector<const crash_record*> crashes;
+    for (const auto& [engine, r] : t.crashes) {
+        if (!r.refuted) {
+            crashes.push_back(&r);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end(), [](const crash_record* a, const crash_record* b) {
+        return std::tie(a->at, a->engine) < std::tie(b->at, b->engine);
+    });
+    std::vector<time_point> times;
+    std::vector<std::set<part_id>> parts;
+    std::unordered_map<part_id, evidence> by_part;
+    for (const crash_record* r : crashes) {
+        times.push_back(r->at);
+        parts.push_back(parts_of(*r));
+        for (const part_id p : parts.back()) {
+            by_part[p].present_at.push_back(r->at);
+        }
+    }
+    for (auto& [part, e] : by_part) {
+        const auto found = t.proof_index.find(part);
+        if (found != t.proof_index.end()) {
+            e.answered_at = found->second->at;
+        }
+        e.turned_deadly = has_turned_deadly(e);
+        for (const time_point at : e.present_at) {
+            e.unexplained += !is_cleared(e, at) && !has_common_cause(e, times, at);
+        }
+        t.present[part] = {static_cast<std::uint32_t>(e.present_at.size()), e.present_at.back()};
+    }
+    std::map<part_list, std::vector<std::uint32_t>> suspicions;
+    for (std::size_t i = 0; i < crashes.size(); ++i) {
+        suspected_crash s{crashes[i]->engine, crashes[i]->at, {}};
+        std::pair<std::uint32_t, bool> heaviest{0, false};
+        for (const part_id p : parts[i]) {
+            const evidence& e = by_part[p];
+            if (is_cleared(e, s.at) || has_common_cause(e, times, s.at)) {
+                continue;
+            }
+            if (weight_of(e) > heaviest) {
+                heaviest = weight_of(e);
+                s.blamed.clear();
+            }
+            if (weight_of(e) == heaviest) {
+                s.blamed.push_back(p);
+            }
+        }
+        if (s.blamed.empty()) {
+            continue;
+        }
+        const auto index = static_cast<std::uint32_t>(t.suspected.size());
+        for (const part_list& list : crashes[i]->unanswered) {
+            part_list blamed = common_parts(list, s.blamed);
+            if (blamed.empty()) {
+                continue;
+            }
+            std::vector<std::uint32_t>& indexes = suspicions[std::move(blamed)];
+            if (indexes.empty() || indexes.back() != index) {
+                indexes.push_back(index);
+            }
+        }
+        t.suspected.push_back(std::move(s));
+    }
+    for (auto& [list, indexes] : suspicions) {
+        t.suspicions.push_back({list, std::move(indexes)});
+    }
+}
+
+// --- Proofs
+
+// Makes the proof visible to `proofs_since` if its part was present at a crash and others know no
+// proof that is about as recent.
+void publish(table& t, proof_entry& e) {
+    if (!t.present.contains(e.part) ||
+        (e.published_at != time_point{} && e.at - e.published_at < proof_publish_interval)) {
+        return;
+    }
+    e.published_at = e.at;
+    e.revision = ++t.revision;
+}
+
+// True if the proof is newer than what was known.
+bool store_proof(table& t, part_id part, time_point at) {
+    const auto found = t.proof_index.find(part);
+    std::optional<time_point> before;
+    if (found != t.proof_index.end()) {
+        before = found->second->at;
+        if (*before >= at) {
+            return false;
+        }
+        found->second->at = at;
+        t.proofs.splice(t.proofs.begin(), t.proofs, found->second);
+    } else {
+        t.proofs.push_front({part, at, {}, 0});
+        t.proof_index[part] = t.proofs.begin();
+        if (t.proofs.size() > max_proofs) {
+            t.proof_index.erase(t.proofs.back().part);
+            t.proofs.pop_back();
+        }
+    }
+    const auto present = t.present.find(part);
+    const bool decides =
+        present != t.present.end() && (!before || present->second.latest >= *before);
+    publish(t, t.proofs.front());
+    if (decides) {
+        update_suspicions(t);
+    }
+    return true;
+}
+
+// --- Crashes
+
+void store_changed(table& t, crash_record& r) {
+    r.revision = ++t.revision;
+    const std::vector<part_list> lists = r.unanswered;
+    while (t.crashes.size() > max_crashes) {
+        t.crashes.erase(
+            std::min_element(t.crashes.begin(), t.crashes.end(), [](const auto& a, const auto& b) {
+                return std::tie(a.second.at, a.first) < std::tie(b.second.at, b.first);
+            }));
+    }
+    update_suspicions(t);
+    for (const part_list& list : lists) {
+        for (const part_id p : list) {
+            const auto found = t.proof_index.find(p);
+            if (found != t.proof_index.end()) {
+                publish(t, *found->second);
+            }
+        }
+    }
+}
+
+}  // namespace
+
+part_list shared_parts(const dispatch::work& w) {
+    part_list out;
+    for (std::size_t i = 0; i + 1 < w.parts.size() && i < max_parts; ++i) {
+        out.push_back(w.parts[i].id);
+    }
+    return normalized(std::move(out));
+}
+
+verdict judge(const table& t, const part_list& parts, time_point now) {
+    std::vector<std::uint32_t> crashes;
+    verdict v;
+    for (const suspicion& s : t.suspicions) {
+        if (includes(parts, s.parts)) {
+            crashes.insert(crashes.end(), s.crashes.begin(), s.crashes.end());
+            v.parts.insert(v.parts.end(), s.parts.begin(), s.parts.end());
+        }
+    }
+    if (crashes.empty()) {
+        return v;
+    }
+    std::sort(crashes.begin(), crashes.end());
+    crashes.erase(std::unique(crashes.begin(), crashes.end()), crashes.end());
+    v.crashes = static_cast<std::uint32_t>(crashes.size());
+    v.parts = normalized(std::move(v.parts));
+    if (v.crashes < min_crashes_to_quarantine) {
+        return v;
+    }
+    const std::size_t step =
+        std::min<std::size_t>(v.crashes - min_crashes_to_quarantine, quarantine_times.size() - 1);
+    const time_point until = t.suspected[crashes.back()].at + quarantine_times[step];
+    v.remaining = std::max(duration{}, until - now);
+    v.quarantined = v.remaining > duration{};
+    return v;
+}
+
+bool may_be_cause(const table& t, const incarnation& engine, const part_list& parts,
+                  time_point now) {
+    const auto record = t.crashes.find(engine);
+    if (record == t.crashes.end()) {
+        return std::any_of(parts.begin(), parts.end(), [&](part_id p) {
+            const auto found = t.proof_index.find(p);
+            return found == t.proof_index.end() || now - found->second->at > proof_validity;
+        });
+    }
+    return std::any_of(t.suspected.begin(), t.suspected.end(), [&](const suspected_crash& s) {
+        return s.engine == engine && !common_parts(s.blamed, parts).empty();
+    });
+}
+
+std::vector<crash_record> changed_since(const table& t, std::uint64_t revision) {
+    std::vector<crash_record> out;
+    for (const auto& [engine, r] : t.crashes) {
+        if (r.revision > revision) {
+            out.push_back(r);
+        }
+    }
+    return out;
+}
+
+std::vector<proof> proofs_since(const table& t, std::uint64_t revision) {
+    std::vector<proof> out;
+    for (const auto& [part, known] : t.present) {
+        const auto found = t.proof_index.find(part);
+        if (found != t.proof_index.end() && found->second->revision > revision) {
+            out.push_back({part, found->second->at});
+        }
+    }
+    return out;
+}
+
+void record_crash(table& t, const incarnation& engine, const part_list& parts, time_point now) {
+    if (parts.empty()) {
+        return;
+    }
+    const auto [at, inserted] = t.crashes.try_emplace(engine);
+    crash_record& r = at->second;
+    bool changed = inserted;
+    if (inserted) {
+        r.engine = engine;
+        r.at = now;
+    } else if (r.refuted) {
+        r = {engine, r.episode + 1, now, {}, false, 0};
+        changed = true;
+    }
+    changed |= add_list(r, normalized(parts));
+    if (changed) {
+        store_changed(t, r);
+    }
+}
+
+void record_answer(table& t, const incarnation& engine, const part_list& parts, time_point sent_at,
+                   time_point now) {
+    const auto found = t.crashes.find(engine);
+    if (found != t.crashes.end() && !found->second.refuted && sent_at > found->second.at &&
+        sent_at - found->second.at <= refutation_window) {
+        found->second.refuted = true;
+        store_changed(t, found->second);
+    }
+    for (const part_id p : parts) {
+        store_proof(t, p, now);
+    }
+}
+
+bool merge(table& t, const crash_record& r) {
+    crash_record incoming{r.engine, r.episode, r.at, {}, r.refuted, 0};
+    for (const part_list& list : r.unanswered) {
+        add_list(incoming, normalized(list));
+    }
+    if (incoming.unanswered.empty()) {
+        return false;
+    }
+    const auto found = t.crashes.find(r.engine);
+    if (found == t.crashes.end()) {
+        crash_record& added = t.crashes[r.engine] = std::move(incoming);
+        store_changed(t, added);
+        return t.crashes.contains(r.engine);
+    }
+    crash_record& known = found->second;
+    if (incoming.episode < known.episode) {
+        return false;
+    }
+    if (incoming.episode > known.episode) {
+        known = std::move(incoming);
+        store_changed(t, known);
+        return true;
+    }
+    bool changed = false;
+    for (const part_list& list : incoming.unanswered) {
+        changed |= add_list(known, list);
+    }
+    if (incoming.at < known.at) {
+        known.at = incoming.at;
+        changed = true;
+    }
+    if (incoming.refuted && !known.refuted) {
+        known.refuted = true;
+        changed = true;
+    }
+    if (changed) {
+        store_changed(t, known);
+    }
+    return changed;
+}
+
+bool merge(table& t, const proof& p) {
+    return store_proof(t, p.part, p.at);
+}
+
+void expire(table& t, time_point now) {
+    const std::size_t removed =
+        std::erase_if(t.crashes, [&](const auto& c) { return now - c.second.at > crash_lifetime; });
+    if (removed > 0) {
+        update_suspicions(t);
+    }
+}
+
+}  // namespace burdockdeck::quarantine
