--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -4,12 +4,12 @@
 // it.
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <list>
 #include <map>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -36,9 +36,13 @@
 struct incarnation {
     std::string upstream;
     std::uint64_t born_ms = 0;
-    auto operator<=>(const incarnation&) const = default;
+    bool operator==(const incarnation&) const = default;
 };
 
+inline bool operator<(const incarnation& a, const incarnation& b) {
+    return std::tie(a.upstream, a.born_ms) < std::tie(b.upstream, b.born_ms);
+}
+
 // One crash, however many requests it ended.
 // Invariant: `unanswered` is sorted and unique, at most `max_lists`, and no list is empty.
 struct crash_record {
