Quarantine: tables merge in batches; simulated fleets

An answer on a part that is cleared already no longer recomputes what requests are judged by, and a batch of changes recomputes it once.

--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -73,10 +73,10 @@
     std::uint64_t revision = 0;
 };
 
-// The unrefuted crashes that a part was present at.
+// The unrefuted crashes that a part was present at, and those of them that it may have caused.
 struct presence {
     std::uint32_t crashes = 0;
-    time_point latest{};
+    std::uint32_t unexplained = 0;
 };
 
 // A crash and the parts that explain it best.
@@ -160,6 +160,8 @@
 // true if something changed.
 bool merge(table& t, const crash_record& r);
 bool merge(table& t, const proof& p);
+// The same for many at once, which takes less time.
+bool merge(table& t, const std::vector<crash_record>& crashes, const std::vector<proof>& proofs);
 
 // Forgets crashes that no longer matter.
 void expire(table& t, time_point now);
--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -6,7 +6,6 @@
 #include <array>
 #include <iterator>
 #include <optional>
-#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -61,11 +60,13 @@
     return parts;
 }
 
-std::set<part_id> parts_of(const crash_record& r) {
-    std::set<part_id> all;
+part_list parts_of(const crash_record& r) {
+    part_list all;
     for (const part_list& parts : r.unanswered) {
-        all.insert(parts.begin(), parts.end());
+        all.insert(all.end(), parts.begin(), parts.end());
     }
+    std::sort(all.begin(), all.end());
+    all.erase(std::unique(all.begin(), all.end()), all.end());
     return all;
 }
 
@@ -170,7 +171,7 @@
         return std::tie(a->at, a->engine) < std::tie(b->at, b->engine);
     });
     std::vector<time_point> times;
-    std::vector<std::set<part_id>> parts;
+    std::vector<part_list> parts;
     std::unordered_map<part_id, evidence> by_part;
     for (const crash_record* r : crashes) {
         times.push_back(r->at);
@@ -188,7 +189,7 @@
         for (const time_point at : e.present_at) {
             e.unexplained += !is_cleared(e, at) && !has_common_cause(e, times, at);
         }
-        t.present[part] = {static_cast<std::uint32_t>(e.present_at.size()), e.present_at.back()};
+        t.present[part] = {static_cast<std::uint32_t>(e.present_at.size()), e.unexplained};
     }
     std::map<part_list, std::vector<std::uint32_t>> suspicions;
     for (std::size_t i = 0; i < crashes.size(); ++i) {
@@ -241,14 +242,18 @@
     e.revision = ++t.revision;
 }
 
-// True if the proof is newer than what was known.
-bool store_proof(table& t, part_id part, time_point at) {
+// What a command changed.
+struct change {
+    bool any = false;
+    // True if update_suspicions is needed.
+    bool evidence = false;
+};
+
+void store_proof(table& t, part_id part, time_point at, change& c) {
     const auto found = t.proof_index.find(part);
-    std::optional<time_point> before;
     if (found != t.proof_index.end()) {
-        before = found->second->at;
-        if (*before >= at) {
-            return false;
+        if (found->second->at >= at) {
+            return;
         }
         found->second->at = at;
         t.proofs.splice(t.proofs.begin(), t.proofs, found->second);
@@ -260,36 +265,81 @@
             t.proofs.pop_back();
         }
     }
-    const auto present = t.present.find(part);
-    const bool decides =
-        present != t.present.end() && (!before || present->second.latest >= *before);
+    c.any = true;
     publish(t, t.proofs.front());
-    if (decides) {
-        update_suspicions(t);
-    }
-    return true;
+    // A later answer on a part that is cleared already changes nothing.
+    const auto present = t.present.find(part);
+    c.evidence |= present != t.present.end() && present->second.unexplained > 0;
 }
 
 // --- Crashes
 
-void store_changed(table& t, crash_record& r) {
+void store_changed(table& t, crash_record& r, change& c) {
     r.revision = ++t.revision;
-    const std::vector<part_list> lists = r.unanswered;
+    c = {true, true};
+}
+
+void remove_oldest_crashes(table& t) {
     while (t.crashes.size() > max_crashes) {
         t.crashes.erase(
             std::min_element(t.crashes.begin(), t.crashes.end(), [](const auto& a, const auto& b) {
                 return std::tie(a.second.at, a.first) < std::tie(b.second.at, b.first);
             }));
     }
-    update_suspicions(t);
-    for (const part_list& list : lists) {
-        for (const part_id p : list) {
-            const auto found = t.proof_index.find(p);
+}
+
+void merge_crash(table& t, const crash_record& r, change& c) {
+    crash_record incoming{r.engine, r.episode, r.at, {}, r.refuted, 0};
+    for (const part_list& list : r.unanswered) {
+        add_list(incoming, normalized(list));
+    }
+    if (incoming.unanswered.empty()) {
+        return;
+    }
+    const auto [at, inserted] = t.crashes.try_emplace(r.engine, incoming);
+    crash_record& known = at->second;
+    if (inserted) {
+        store_changed(t, known, c);
+        return;
+    }
+    if (incoming.episode < known.episode) {
+        return;
+    }
+    if (incoming.episode > known.episode) {
+        known = std::move(incoming);
+        store_changed(t, known, c);
+        return;
+    }
+    bool changed = false;
+    for (const part_list& list : incoming.unanswered) {
+        changed |= add_list(known, list);
+    }
+    if (incoming.at < known.at) {
+        known.at = incoming.at;
+        changed = true;
+    }
+    if (incoming.refuted && !known.refuted) {
+        known.refuted = true;
+        changed = true;
+    }
+    if (changed) {
+        store_changed(t, known, c);
+    }
+}
+
+// Completes a command.
+bool finish(table& t, const change& c) {
+    if (c.evidence) {
+        remove_oldest_crashes(t);
+        update_suspicions(t);
+        for (const auto& [part, known] : t.present) {
+            const auto found = t.proof_index.find(part);
             if (found != t.proof_index.end()) {
                 publish(t, *found->second);
             }
         }
     }
+    return c.any;
 }
 
 }  // namespace
@@ -380,66 +430,48 @@
     }
     changed |= add_list(r, normalized(parts));
     if (changed) {
-        store_changed(t, r);
+        change c;
+        store_changed(t, r, c);
+        finish(t, c);
     }
 }
 
 void record_answer(table& t, const incarnation& engine, const part_list& parts, time_point sent_at,
                    time_point now) {
+    change c;
     const auto found = t.crashes.find(engine);
     if (found != t.crashes.end() && !found->second.refuted && sent_at > found->second.at &&
         sent_at - found->second.at <= refutation_window) {
         found->second.refuted = true;
-        store_changed(t, found->second);
+        store_changed(t, found->second, c);
     }
     for (const part_id p : parts) {
-        store_proof(t, p, now);
+        store_proof(t, p, now, c);
     }
+    finish(t, c);
 }
 
 bool merge(table& t, const crash_record& r) {
-    crash_record incoming{r.engine, r.episode, r.at, {}, r.refuted, 0};
-    for (const part_list& list : r.unanswered) {
-        add_list(incoming, normalized(list));
-    }
-    if (incoming.unanswered.empty()) {
-        return false;
-    }
-    const auto found = t.crashes.find(r.engine);
-    if (found == t.crashes.end()) {
-        crash_record& added = t.crashes[r.engine] = std::move(incoming);
-        store_changed(t, added);
-        return t.crashes.contains(r.engine);
-    }
-    crash_record& known = found->second;
-    if (incoming.episode < known.episode) {
-        return false;
-    }
-    if (incoming.episode > known.episode) {
-        known = std::move(incoming);
-        store_changed(t, known);
-        return true;
-    }
-    bool changed = false;
-    for (const part_list& list : incoming.unanswered) {
-        changed |= add_list(known, list);
-    }
-    if (incoming.at < known.at) {
-        known.at = incoming.at;
-        changed = true;
-    }
-    if (incoming.refuted && !known.refuted) {
-        known.refuted = true;
-        changed = true;
-    }
-    if (changed) {
-        store_changed(t, known);
-    }
-    return changed;
+    change c;
+    merge_crash(t, r, c);
+    return finish(t, c) && t.crashes.contains(r.engine);
 }
 
 bool merge(table& t, const proof& p) {
-    return store_proof(t, p.part, p.at);
+    change c;
+    store_proof(t, p.part, p.at, c);
+    return finish(t, c);
+}
+
+bool merge(table& t, const std::vector<crash_record>& crashes, const std::vector<proof>& proofs) {
+    change c;
+    for (const crash_record& r : crashes) {
+        merge_crash(t, r, c);
+    }
+    for (const proof& p : proofs) {
+        store_proof(t, p.part, p.at, c);
+    }
+    return finish(t, c);
 }
 
 void expire(table& t, time_point now) {
--- /dev/null
+++ b/libs/quarantine/tests/test_quarantine_fleet.cpp
@@ -0,0 +1,531 @@
+// Simulated fleets under virtual time: gateways that share their tables with a delay, engines that
+// deadly requests crash, and crashes and connection resets that no request caused. The environment
+// variable BURDOCKDECK_TEST_SEEDS sets the number of seeds.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "quarantine/quarantine.h"
+
+using namespace burdockdeck;
+using namespace burdockdeck::quarantine;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration stable_window = 3s;
+constexpr std::uint32_t max_late_sends = 3;
+constexpr unsigned max_attempts = 3;
+constexpr part_id deadly_base = 1'000'000;
+
+// Which part of a deadly request is deadly.
+enum class poison { none, added, subject, first, turned, two };
+constexpr std::array<poison, 5> all_poisons{poison::added, poison::subject, poison::first,
+                                            poison::turned, poison::two};
+
+// The decision under test, and two to compare it with. The naive one counts the crashes of each
+// part, knows all crashes of the fleet at once, and refuses a request if any of its parts has two.
+enum class policy { quarantined, naive, none };
+
+struct scenario {
+    unsigned gateways = 8;
+    unsigned engines = 9;
+    double per_second = 15;
+    unsigned subjects = 17;
+    poison kind = poison::none;
+    policy decide = policy::quarantined;
+    double deadly_share = 0.05;
+    bool innocent_crashes = false;
+    duration poison_from = 10s;
+    duration poison_to = 70s;
+    duration end = 80s;
+};
+
+struct request {
+    part_list parts;
+    std::set<part_id> deadly;
+    bool same_first_part = false;
+    unsigned callers_attempt = 1;
+    unsigned sends = 0;
+};
+
+struct counts {
+    std::uint32_t requests = 0;
+    std::uint32_t begun = 0;
+    std::uint32_t refused = 0;
+};
+
+struct outcome_counts {
+    // Times of the crashes and the sends of each deadly part.
+    std::map<part_id, std::vector<time_point>> crashes;
+    std::map<part_id, std::vector<time_point>> sends;
+    // Caller's first attempts of sound requests, by second of arrival: all, and those with the
+    // first part of deadly ones.
+    std::vector<counts> sound;
+    std::vector<counts> same_first_part;
+    std::uint32_t sound_ended_by_crash = 0;
+    std::uint32_t sound_not_repeated = 0;
+};
+
+// One fleet. Everything happens in the order of the events' times.
+class fleet {
+public:
+    fleet(const scenario& s, unsigned seed) : s_(s), rng_(seed), gateways_(s.gateways) {
+        out_.sound.resize(static_cast<std::size_t>(s.end / 1s) + 1);
+        out_.same_first_part.resize(out_.sound.size());
+        engines_.resize(s.engines);
+        for (engine_state& e : engines_) {
+            e.id = {"engine-" + std::to_string(next_id_), next_id_};
+            ++next_id_;
+        }
+    }
+
+    outcome_counts run() {
+        plan_arrivals();
+        if (s_.innocent_crashes) {
+            plan_innocent_crashes();
+        }
+        for (unsigned g = 0; g < s_.gateways; ++g) {
+            at(between(0ms, 200ms), [this, g] { share(g); });
+        }
+        while (!events_.empty() && events_.top().at < time_of(s_.end)) {
+            const event e = events_.top();
+            events_.pop();
+            now_ = e.at;
+            e.act();
+        }
+        return std::move(out_);
+    }
+
+private:
+    struct event {
+        time_point at;
+        std::uint64_t order = 0;
+        std::function<void()> act;
+        bool operator<(const event& o) const {
+            return std::tie(o.at, o.order) < std::tie(at, order);
+        }
+    };
+    struct run_state {
+        std::shared_ptr<request> r;
+        unsigned gateway = 0;
+        time_point sent_at;
+        bool answered = false;
+    };
+    struct engine_state {
+        incarnation id;
+        bool up = true;
+        std::map<std::uint64_t, run_state> running;
+    };
+    struct gateway_state {
+        table known;
+        std::uint64_t shared = 0;
+        std::uint64_t received = 0;
+    };
+
+    static time_point time_of(duration d) {
+        return time_point{1h} + d;
+    }
+    double unit() {
+        return std::uniform_real_distribution<>(0, 1)(rng_);
+    }
+    unsigned pick(unsigned n) {
+        return static_cast<unsigned>(rng_() % n);
+    }
+    duration between(duration low, duration high) {
+        return low + duration(static_cast<std::int64_t>(unit() * double((high - low).count())));
+    }
+    void at(duration from_now, std::function<void()> act) {
+        events_.push({now_ + from_now, ++order_, std::move(act)});
+    }
+
+    // Popular subjects are asked for more often than rare ones.
+    part_id subject_of(unsigned first) {
+        const auto rank = static_cast<unsigned>(unit() * unit() * s_.subjects);
+        return 1000 * (first + 1) + rank;
+    }
+
+    void plan_arrivals() {
+        duration t{};
+        while (t < s_.end) {
+            t += duration(static_cast<std::int64_t>(
+                std::exponential_distribution<>(s_.per_second)(rng_) * 1e9));
+            auto r = std::make_shared<request>();
+            const unsigned first = std::min(pick(3), pick(3));
+            part_id subject = subject_of(first);
+            std::vector<part_id> parts{1 + first};
+            const bool time_of_poison = t >= s_.poison_from && t < s_.poison_to;
+            const bool chosen = s_.kind != poison::none && unit() < s_.deadly_share;
+            if (s_.kind == poison::turned) {
+                if (time_of_poison && subject == 1003) {
+                    r->deadly.insert(subject);
+                }
+            } else if (chosen && time_of_poison) {
+                const part_id d = deadly_base + (s_.kind == poison::two ? pick(2) : 0);
+                r->deadly.insert(d);
+                if (s_.kind == poison::first) {
+                    parts[0] = d;
+                } else if (s_.kind == poison::subject) {
+                    subject = d;
+                } else {
+                    parts.push_back(d);
+                }
+            }
+            parts.push_back(subject);
+            std::sort(parts.begin(), parts.end());
+            r->parts = parts;
+            r->same_first_part = first == 0;
+            at(t, [this, r] { arrive(r); });
+        }
+    }
+
+    void plan_innocent_crashes() {
+        for (duration t = 5s; t < s_.end; t += between(1s, 9s)) {
+            at(t, [this] { crash(pick(s_.engines)); });
+        }
+        for (duration t = 5s; t < s_.end; t += between(1s, 5s)) {
+            at(t, [this] { reset_one(pick(s_.engines)); });
+        }
+        for (const double share : {0.15, 0.34, 0.15}) {
+            at(between(5s, s_.end), [this, share] {
+                for (unsigned i = 0; i < s_.engines; ++i) {
+                    if (unit() < share) {
+                        at(between(0ms, 200ms), [this, i] { crash(i); });
+                    }
+                }
+            });
+        }
+    }
+
+    std::vector<counts*> counted(const request& r, time_point arrived) {
+        const auto second = static_cast<std::size_t>((arrived - time_of(0s)) / 1s);
+        std::vector<counts*> all;
+        if (r.deadly.empty() && r.callers_attempt == 1) {
+            all.push_back(&out_.sound[second]);
+            if (r.same_first_part) {
+                all.push_back(&out_.same_first_part[second]);
+            }
+        }
+        return all;
+    }
+
+    bool refuses(unsigned g, const request& r) {
+        switch (s_.decide) {
+            case policy::quarantined:
+                return judge(gateways_[g].known, r.parts, now_).quarantined;
+            case policy::naive:
+                return std::any_of(r.parts.begin(), r.parts.end(),
+                                   [&](part_id p) { return naive_[p].size() >= 2; });
+            case policy::none:
+                return false;
+        }
+        return false;
+    }
+
+    void arrive(const std::shared_ptr<request>& r) {
+        for (counts* c : counted(*r, now_)) {
+            ++c->requests;
+        }
+        r->sends = 0;
+        const time_point arrived = now_;
+        const unsigned g = pick(s_.gateways);
+        if (refuses(g, *r)) {
+            for (counts* c : counted(*r, arrived)) {
+                ++c->refused;
+            }
+            return call_again(r);
+        }
+        send(r, g, arrived);
+    }
+
+    void call_again(const std::shared_ptr<request>& r) {
+        if (r->callers_attempt++ == 1) {
+            at(between(200ms, 600ms), [this, r] { arrive(r); });
+        }
+    }
+
+    void send(const std::shared_ptr<request>& r, unsigned g, time_point arrived) {
+        std::vector<unsigned> up;
+        for (unsigned i = 0; i < s_.engines; ++i) {
+            if (engines_[i].up) {
+                up.push_back(i);
+            }
+        }
+        if (up.empty()) {
+            return call_again(r);
+        }
+        const unsigned i = up[pick(static_cast<unsigned>(up.size()))];
+        const std::uint64_t run = ++runs_;
+        engines_[i].running[run] = {r, g, now_, false};
+        ++r->sends;
+        for (const part_id d : r->deadly) {
+            out_.sends[d].push_back(now_);
+        }
+        at(between(60ms, 400ms), [this, i, run, arrived] { begin(i, run, arrived); });
+    }
+
+    void begin(unsigned i, std::uint64_t run, time_point arrived) {
+        const auto found = engines_[i].running.find(run);
+        if (found == engines_[i].running.end()) {
+            return;
+        }
+        run_state& state = found->second;
+        if (!state.r->deadly.empty()) {
+            for (const part_id d : state.r->deadly) {
+                out_.crashes[d].push_back(now_);
+            }
+            return crash(i);
+        }
+        state.answered = true;
+        for (counts* c : counted(*state.r, arrived)) {
+            ++c->begun;
+        }
+        record_answer(gateways_[state.gateway].known, engines_[i].id, state.r->parts, state.sent_at,
+                      now_);
+        at(between(300ms, 1500ms), [this, i, run] { engines_[i].running.erase(run); });
+    }
+
+    void crash(unsigned i) {
+        engine_state& e = engines_[i];
+        if (!e.up) {
+            return;
+        }
+        e.up = false;
+        for (const auto& [run, state] : e.running) {
+            end_by_crash(e.id, state);
+        }
+        e.running.clear();
+        at(between(3s, 6s), [this, i] {
+            // Some start again under their old id.
+            const std::uint64_t start = next_id_++;
+            if (pick(4) != 0) {
+                engines_[i].id.upstream = "engine-" + std::to_string(start);
+            }
+            engines_[i].id.born_ms = start;
+            engines_[i].up = true;
+        });
+    }
+
+    // One request's connection is reset; the engine lives on.
+    void reset_one(unsigned i) {
+        engine_state& e = engines_[i];
+        if (!e.running.empty()) {
+            const auto first = e.running.begin();
+            end_by_crash(e.id, first->second);
+            e.running.erase(first);
+        }
+    }
+
+    void end_by_crash(const incarnation& id, const run_state& state) {
+        if (!state.answered) {
+            at(between(1ms, 100ms), [this, id, state] { notice(id, state); });
+        }
+    }
+
+    void notice(const incarnation& id, const run_state& state) {
+        table& known = gateways_[state.gateway].known;
+        record_crash(known, id, state.r->parts, now_);
+        for (const part_id p : state.r->parts) {
+            naive_[p].insert(id);
+        }
+        const bool sound = state.r->deadly.empty();
+        out_.sound_ended_by_crash += sound;
+        const bool repeat =
+            s_.decide != policy::quarantined || !may_be_cause(known, id, state.r->parts, now_);
+        out_.sound_not_repeated += sound && !repeat;
+        if (repeat && state.r->sends < max_attempts && !refuses(state.gateway, *state.r)) {
+            return send(state.r, state.gateway, now_);
+        }
+        call_again(state.r);
+    }
+
+    // Exchanges changes with the control instance that all gateways share. Times travel as ages, so
+    // they arrive later by the time of the transfer.
+    void share(unsigned g) {
+        const auto carry = [this](table& from, std::uint64_t& sent, std::function<table*()> to) {
+            const auto crashes = changed_since(from, sent);
+            const auto proofs = proofs_since(from, sent);
+            sent = from.revision;
+            const duration transfer = between(200ms, 300ms);
+            if (!crashes.empty() || !proofs.empty()) {
+                at(transfer, [crashes, proofs, transfer, to] {
+                    auto late_crashes = crashes;
+                    auto late_proofs = proofs;
+                    for (crash_record& r : late_crashes) {
+                        r.at += transfer;
+                    }
+                    for (proof& p : late_proofs) {
+                        p.at += transfer;
+                    }
+                    merge(*to(), late_crashes, late_proofs);
+                });
+            }
+        };
+        gateway_state& me = gateways_[g];
+        carry(me.known, me.shared, [this] { return &control_; });
+        carry(control_, me.received, [this, g] { return &gateways_[g].known; });
+        at(200ms, [this, g] { share(g); });
+    }
+
+    scenario s_;
+    std::mt19937_64 rng_;
+    std::vector<gateway_state> gateways_;
+    table control_;
+    std::vector<engine_state> engines_;
+    std::map<part_id, std::set<incarnation>> naive_;
+    std::priority_queue<event> events_;
+    outcome_counts out_;
+    time_point now_ = time_of(0s);
+    std::uint64_t order_ = 0;
+    std::uint64_t runs_ = 0;
+    std::uint64_t next_id_ = 1;
+};
+
+unsigned seeds_to_run(unsigned otherwise) {
+    const char* wanted = std::getenv("BURDOCKDECK_TEST_SEEDS");
+    return wanted != nullptr ? static_cast<unsigned>(std::atoi(wanted)) : otherwise;
+}
+
+scenario fleet_of(unsigned seed) {
+    constexpr std::array<scenario, 4> sizes{
+        {{8, 9, 15, 17}, {8, 12, 20, 34}, {27, 44, 80, 51}, {27, 20, 30, 51}}};
+    return sizes[seed % sizes.size()];
+}
+
+// The most sends of one deadly part later than the stable window after its fifth crash.
+std::uint32_t late_sends(const outcome_counts& o) {
+    std::uint32_t worst = 0;
+    for (const auto& [part, sends] : o.sends) {
+        const auto crashes = o.crashes.find(part);
+        if (crashes == o.crashes.end() || crashes->second.size() < 5) {
+            continue;
+        }
+        const time_point from = crashes->second[4] + stable_window;
+        const auto late =
+            std::count_if(sends.begin(), sends.end(), [&](time_point t) { return t > from; });
+        worst = std::max(worst, static_cast<std::uint32_t>(late));
+    }
+    return worst;
+}
+
+counts sum(const std::vector<counts>& all, std::size_t from, std::size_t to) {
+    counts out;
+    for (std::size_t i = from; i < std::min(to, all.size()); ++i) {
+        out.requests += all[i].requests;
+        out.begun += all[i].begun;
+        out.refused += all[i].refused;
+    }
+    return out;
+}
+
+double share_of(std::uint32_t part, std::uint32_t all) {
+    return all == 0 ? 0 : double(part) / all;
+}
+
+// First attempts begun of sound requests with the deadly ones' first part while the poison lasts,
+// relative to the share before it.
+double sound_share(const outcome_counts& o, const scenario& s) {
+    time_point last_that_counts{};
+    for (const auto& [part, times] : o.crashes) {
+        last_that_counts =
+            std::max(last_that_counts, times[std::min<std::size_t>(times.size(), 5) - 1]);
+    }
+    const auto from =
+        static_cast<std::size_t>((last_that_counts + 2 * stable_window - time_point{1h}) / 1s);
+    const counts during = sum(o.same_first_part, from, static_cast<std::size_t>(s.poison_to / 1s));
+    const counts before = sum(o.same_first_part, 0, static_cast<std::size_t>(s.poison_from / 1s));
+    return during.requests < 20
+               ? 1
+               : share_of(during.begun, during.requests) / share_of(before.begun, before.requests);
+}
+
+}  // namespace
+
+TEST_CASE("deadly requests stop reaching engines, and sound ones go on") {
+    const unsigned seeds = seeds_to_run(5);
+    MESSAGE("seeds 1 to " << seeds);
+    for (const poison kind : all_poisons) {
+        std::uint32_t worst_late = 0;
+        double worst_share = 1;
+        std::size_t most_crashes = 0;
+        counts sound;
+        for (unsigned seed = 1; seed <= seeds; ++seed) {
+            CAPTURE(seed);
+            CAPTURE(static_cast<int>(kind));
+            scenario s = fleet_of(seed);
+            s.kind = kind;
+            s.innocent_crashes = seed % 3 != 0;
+            const outcome_counts o = fleet(s, seed).run();
+            CHECK(late_sends(o) <= max_late_sends);
+            CHECK(sound_share(o, s) >= 0.5);
+            worst_late = std::max(worst_late, late_sends(o));
+            worst_share = std::min(worst_share, sound_share(o, s));
+            for (const auto& [part, times] : o.crashes) {
+                most_crashes = std::max(most_crashes, times.size());
+            }
+            const counts c = sum(o.sound, 10, 70);
+            sound.requests += c.requests;
+            sound.refused += c.refused;
+        }
+        MESSAGE("poison " << static_cast<int>(kind) << ": most late sends " << worst_late
+                          << ", most crashes of a part " << most_crashes
+                          << ", least share of sound requests begun " << worst_share
+                          << ", sound requests refused " << sound.refused << " of "
+                          << sound.requests);
+    }
+}
+
+TEST_CASE("crashes that no request caused refuse fewer than one sound request in 100") {
+    const unsigned seeds = seeds_to_run(8);
+    MESSAGE("seeds 1 to " << seeds);
+    std::uint32_t refused = 0;
+    std::uint32_t requests = 0;
+    std::uint32_t ended = 0;
+    std::uint32_t not_repeated = 0;
+    double worst = 0;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        CAPTURE(seed);
+        scenario s = fleet_of(seed);
+        s.innocent_crashes = true;
+        const outcome_counts o = fleet(s, seed).run();
+        const counts c = sum(o.sound, 0, o.sound.size());
+        CHECK(share_of(c.refused, c.requests) < 0.01);
+        worst = std::max(worst, share_of(c.refused, c.requests));
+        requests += c.requests;
+        refused += c.refused;
+        ended += o.sound_ended_by_crash;
+        not_repeated += o.sound_not_repeated;
+    }
+    MESSAGE("refused " << refused << " of " << requests << ", worst share " << worst
+                       << "; ended by a crash " << ended << ", of these not repeated "
+                       << not_repeated);
+}
+
+TEST_CASE("simpler decisions fail the same checks") {
+    std::uint32_t worst_late = 0;
+    double worst_share = 1;
+    for (unsigned seed = 1; seed <= 4; ++seed) {
+        scenario s = fleet_of(seed);
+        s.kind = poison::added;
+        s.decide = policy::none;
+        worst_late = std::max(worst_late, late_sends(fleet(s, seed).run()));
+        s.decide = policy::naive;
+        worst_share = std::min(worst_share, sound_share(fleet(s, seed).run(), s));
+    }
+    MESSAGE("without a decision: late sends " << worst_late << "; counting by part: share begun "
+                                              << worst_share);
+    CHECK(worst_late > max_late_sends);
+    CHECK(worst_share < 0.5);
+}
