--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -73,10 +73,10 @@
     std::uint64_t revision = 0;
 };
 
-// The unrefuted crashes that a part was present at, and those of them that it may have caused.
+// The unrefuted crashes that a part was present at, and those of them that no answer clears it of.
 struct presence {
     std::uint32_t crashes = 0;
-    std::uint32_t unexplained = 0;
+    std::uint32_t uncleared = 0;
 };
 
 // A crash and the parts that explain it best.
@@ -91,6 +91,8 @@
     part_list parts;
     // Indexes in `suspected`, ascending.
     std::vector<std::uint32_t> crashes;
+    // Crashes that no answer clears any of the parts of, also those that others explain better.
+    std::uint32_t severity = 0;
 };
 
 // Invariants: at most `max_crashes` crashes and `max_proofs` proofs, the last updated first in
--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <limits>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -25,7 +26,12 @@
 // A part that was answered before has become deadly if this many crashes with it, over at least
 // this time, follow its last answer. Many engines lost at the same moment are no such sign.
 constexpr std::size_t min_crashes_after_answer = 4;
-constexpr duration min_span_after_answer = 2s;
+constexpr duration min_span_after_answer = 1s;
+// As many other parts must have been answered meanwhile: while all engines are down, the lack of an
+// answer says nothing.
+constexpr std::uint32_t min_other_answers = 3;
+// Crashes closer than this are one event, such as the loss of a failure domain.
+constexpr duration same_moment = 200ms;
 // Crashes this close may have a common cause outside the engines. If there are at least
 // `min_common_crashes` of them, they count only for parts present at enough of them.
 constexpr duration common_cause_window = 1s;
@@ -33,8 +39,9 @@
 constexpr std::size_t min_common_share_divisor = 4;
 
 constexpr std::uint32_t min_crashes_to_quarantine = 2;
-// Quarantine after the latest crash, for 2, 3, 4 and more crashes.
-constexpr std::array<duration, 4> quarantine_times{10s, 30s, 2min, 10min};
+// Quarantine after the latest crash, for 2, 3, and more crashes. A crash may go unrecorded, so that
+// the longest time begins before the fifth.
+constexpr std::array<duration, 3> quarantine_times{10s, 1min, 10min};
 
 // An answer later than this after a crash may come from the next start of the engine, before that
 // start is announced.
@@ -114,7 +121,8 @@
     std::optional<time_point> answered_at;
     // True if the crashes since the last answer outweigh it.
     bool turned_deadly = false;
-    // Crashes that the part is neither cleared of nor too rare to explain.
+    // Crashes that the part is not cleared of, and those of them without a common cause.
+    std::uint32_t uncleared = 0;
     std::uint32_t unexplained = 0;
 };
 
@@ -124,14 +132,27 @@
     return static_cast<std::size_t>(last - first);
 }
 
-bool has_turned_deadly(const evidence& e) {
+// True if at least `min_other_answers` parts were answered after `from`.
+bool has_answers_since(const table& t, time_point from) {
+    std::uint32_t count = 0;
+    for (const proof_entry& e : t.proofs) {
+        count += e.at > from;
+        if (count >= min_other_answers) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool has_turned_deadly(const table& t, const evidence& e) {
     if (!e.answered_at) {
         return false;
     }
     const auto first = std::upper_bound(e.present_at.begin(), e.present_at.end(), *e.answered_at);
     const auto count = static_cast<std::size_t>(e.present_at.end() - first);
     return count >= min_crashes_after_answer &&
-           e.present_at.back() - *first >= min_span_after_answer;
+           e.present_at.back() - *first >= min_span_after_answer &&
+           has_answers_since(t, *first + same_moment);
 }
 
 bool is_cleared(const evidence& e, time_point crash_at) {
@@ -185,11 +206,13 @@
         if (found != t.proof_index.end()) {
             e.answered_at = found->second->at;
         }
-        e.turned_deadly = has_turned_deadly(e);
+        e.turned_deadly = has_turned_deadly(t, e);
         for (const time_point at : e.present_at) {
-            e.unexplained += !is_cleared(e, at) && !has_common_cause(e, times, at);
+            const bool uncleared = !is_cleared(e, at);
+            e.uncleared += uncleared;
+            e.unexplained += uncleared && !has_common_cause(e, times, at);
         }
-        t.present[part] = {static_cast<std::uint32_t>(e.present_at.size()), e.unexplained};
+        t.present[part] = {static_cast<std::uint32_t>(e.present_at.size()), e.uncleared};
     }
     std::map<part_list, std::vector<std::uint32_t>> suspicions;
     for (std::size_t i = 0; i < crashes.size(); ++i) {
@@ -225,7 +248,11 @@
         t.suspected.push_back(std::move(s));
     }
     for (auto& [list, indexes] : suspicions) {
-        t.suspicions.push_back({list, std::move(indexes)});
+        std::uint32_t severity = std::numeric_limits<std::uint32_t>::max();
+        for (const part_id p : list) {
+            severity = std::min(severity, by_part[p].uncleared);
+        }
+        t.suspicions.push_back({list, std::move(indexes), severity});
     }
 }
 
@@ -269,7 +296,7 @@
     publish(t, t.proofs.front());
     // A later answer on a part that is cleared already changes nothing.
     const auto present = t.present.find(part);
-    c.evidence |= present != t.present.end() && present->second.unexplained > 0;
+    c.evidence |= present != t.present.end() && present->second.uncleared > 0;
 }
 
 // --- Crashes
@@ -327,6 +354,24 @@
     }
 }
 
+// True if crashes with this part, some time apart, follow its last answer.
+bool has_crashed_since_answer(const table& t, part_id part) {
+    const auto answer = t.proof_index.find(part);
+    std::optional<time_point> first;
+    std::optional<time_point> last;
+    for (const auto& [engine, r] : t.crashes) {
+        if (r.refuted || (answer != t.proof_index.end() && answer->second->at > r.at) ||
+            std::none_of(r.unanswered.begin(), r.unanswered.end(), [&](const part_list& parts) {
+                return std::binary_search(parts.begin(), parts.end(), part);
+            })) {
+            continue;
+        }
+        first = std::min(first.value_or(r.at), r.at);
+        last = std::max(last.value_or(r.at), r.at);
+    }
+    return first && *last - *first >= same_moment;
+}
+
 // Completes a command.
 bool finish(table& t, const change& c) {
     if (c.evidence) {
@@ -354,11 +399,13 @@
 
 verdict judge(const table& t, const part_list& parts, time_point now) {
     std::vector<std::uint32_t> crashes;
+    std::uint32_t severity = 0;
     verdict v;
     for (const suspicion& s : t.suspicions) {
         if (includes(parts, s.parts)) {
             crashes.insert(crashes.end(), s.crashes.begin(), s.crashes.end());
             v.parts.insert(v.parts.end(), s.parts.begin(), s.parts.end());
+            severity = std::max(severity, s.severity);
         }
     }
     if (crashes.empty()) {
@@ -371,8 +418,9 @@
     if (v.crashes < min_crashes_to_quarantine) {
         return v;
     }
+    severity = std::max(severity, v.crashes);
     const std::size_t step =
-        std::min<std::size_t>(v.crashes - min_crashes_to_quarantine, quarantine_times.size() - 1);
+        std::min<std::size_t>(severity - min_crashes_to_quarantine, quarantine_times.size() - 1);
     const time_point until = t.suspected[crashes.back()].at + quarantine_times[step];
     v.remaining = std::max(duration{}, until - now);
     v.quarantined = v.remaining > duration{};
@@ -388,9 +436,15 @@
             return found == t.proof_index.end() || now - found->second->at > proof_validity;
         });
     }
-    return std::any_of(t.suspected.begin(), t.suspected.end(), [&](const suspected_crash& s) {
-        return s.engine == engine && !common_parts(s.blamed, parts).empty();
-    });
+    if (record->second.refuted) {
+        return false;
+    }
+    return std::any_of(t.suspected.begin(), t.suspected.end(),
+                       [&](const suspected_crash& s) {
+                           return s.engine == engine && !common_parts(s.blamed, parts).empty();
+                       }) ||
+           std::any_of(parts.begin(), parts.end(),
+                       [&](part_id p) { return has_crashed_since_answer(t, p); });
 }
 
 std::vector<crash_record> changed_since(const table& t, std::uint64_t revision) {
