Quarantine: an answer clears its parts of crashes for five minutes

Late sends and refusals stay as they were: a part that turns deadly is found by its crashes since the last answer, not by the answer's age.

--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -22,7 +22,7 @@
 using namespace std::chrono_literals;
 
 // An answer clears its parts of crashes that follow within this time.
-constexpr duration proof_validity = 30s;
+constexpr duration proof_validity = 5min;
 // A part that was answered before has become deadly if this many crashes with it, over at least
 // this time, follow its last answer. Many engines lost at the same moment are no such sign.
 constexpr std::size_t min_crashes_after_answer = 4;
