Quarantine: engines lost one after the other convict no popular part

Gateways held the first part, or a popular subject, for one that had turned deadly: it was at four crashes over 1 s with no answer that they knew of. Now a part must also have been at half of the crashes meanwhile, other parts must have been answered in the second half of that time, and the first answer on a part after a crash is shared at once.

--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -73,9 +73,10 @@
     std::uint64_t revision = 0;
 };
 
-// The unrefuted crashes that a part was present at, and those of them that no answer clears it of.
+// The latest of the unrefuted crashes that a part was present at, and the number of those of them
+// that no answer clears it of.
 struct presence {
-    std::uint32_t crashes = 0;
+    time_point latest{};
     std::uint32_t uncleared = 0;
 };
 
@@ -96,8 +97,8 @@
 };
 
 // Invariants: at most `max_crashes` crashes and `max_proofs` proofs, the last updated first in
-// `proofs`; `proof_index` maps each part to its element; `present`, `suspected` and `suspicions`
-// are functions of crashes and proofs.
+// `proofs`; `proof_index` maps each part to its element; `present`, `suspected`, `suspicions`
+// and `awaits_answers` are functions of crashes and proofs.
 struct table {
     std::map<incarnation, crash_record> crashes;
     std::list<proof_entry> proofs;
@@ -105,6 +106,8 @@
     std::unordered_map<part_id, presence> present;
     std::vector<suspected_crash> suspected;
     std::vector<suspicion> suspicions;
+    // True if answers on any parts may add to the suspicions.
+    bool awaits_answers = false;
     // Rises with each change that other tables need to know.
     std::uint64_t revision = 0;
 
--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -27,8 +27,10 @@
 // this time, follow its last answer. Many engines lost at the same moment are no such sign.
 constexpr std::size_t min_crashes_after_answer = 4;
 constexpr duration min_span_after_answer = 1s;
-// As many other parts must have been answered meanwhile: while all engines are down, the lack of an
-// answer says nothing.
+// It must have been present at one in this many of the crashes meanwhile.
+constexpr std::size_t min_deadly_share_divisor = 2;
+// As many other parts must have been answered in the second half of that time: while all engines
+// are down, the lack of an answer says nothing.
 constexpr std::uint32_t min_other_answers = 3;
 // Crashes closer than this are one event, such as the loss of a failure domain.
 constexpr duration same_moment = 200ms;
@@ -144,15 +146,23 @@
     return false;
 }
 
-bool has_turned_deadly(const table& t, const evidence& e) {
+// The time after which other parts must have been answered for the part to have turned deadly;
+// empty if its crashes are no sign of that. `all` are the times of all unrefuted crashes.
+std::optional<time_point> turned_deadly_before(const evidence& e,
+                                               const std::vector<time_point>& all) {
     if (!e.answered_at) {
-        return false;
+        return std::nullopt;
     }
     const auto first = std::upper_bound(e.present_at.begin(), e.present_at.end(), *e.answered_at);
     const auto count = static_cast<std::size_t>(e.present_at.end() - first);
-    return count >= min_crashes_after_answer &&
-           e.present_at.back() - *first >= min_span_after_answer &&
-           has_answers_since(t, *first + same_moment);
+    if (count < min_crashes_after_answer || e.present_at.back() - *first < min_span_after_answer) {
+        return std::nullopt;
+    }
+    const time_point middle = *first + (e.present_at.back() - *first) / 2;
+    if (count * min_deadly_share_divisor < count_within(all, middle, middle - *first)) {
+        return std::nullopt;
+    }
+    return middle;
 }
 
 bool is_cleared(const evidence& e, time_point crash_at) {
@@ -182,6 +192,7 @@
     t.present.clear();
     t.suspected.clear();
     t.suspicions.clear();
+    t.awaits_answers = false;
     std::vector<const crash_record*> crashes;
     for (const auto& [engine, r] : t.crashes) {
         if (!r.refuted) {
@@ -206,13 +217,16 @@
         if (found != t.proof_index.end()) {
             e.answered_at = found->second->at;
         }
-        e.turned_deadly = has_turned_deadly(t, e);
+        if (const auto middle = turned_deadly_before(e, times)) {
+            e.turned_deadly = has_answers_since(t, *middle);
+            t.awaits_answers |= !e.turned_deadly;
+        }
         for (const time_point at : e.present_at) {
             const bool uncleared = !is_cleared(e, at);
             e.uncleared += uncleared;
             e.unexplained += uncleared && !has_common_cause(e, times, at);
         }
-        t.present[part] = {static_cast<std::uint32_t>(e.present_at.size()), e.uncleared};
+        t.present[part] = {e.present_at.back(), e.uncleared};
     }
     std::map<part_list, std::vector<std::uint32_t>> suspicions;
     for (std::size_t i = 0; i < crashes.size(); ++i) {
@@ -258,11 +272,16 @@
 
 // --- Proofs
 
-// Makes the proof visible to `proofs_since` if its part was present at a crash and others know no
-// proof that is about as recent.
+// Makes the proof visible to `proofs_since` if its part was present at a crash, and others know
+// none that is about as recent or later than the crash.
 void publish(table& t, proof_entry& e) {
-    if (!t.present.contains(e.part) ||
-        (e.published_at != time_point{} && e.at - e.published_at < proof_publish_interval)) {
+    const auto present = t.present.find(e.part);
+    if (present == t.present.end() || e.at <= e.published_at) {
+        return;
+    }
+    const bool is_recent = e.at - e.published_at < proof_publish_interval;
+    const time_point crash = present->second.latest;
+    if (is_recent && (crash >= e.at || crash < e.published_at)) {
         return;
     }
     e.published_at = e.at;
@@ -296,7 +315,7 @@
     publish(t, t.proofs.front());
     // A later answer on a part that is cleared already changes nothing.
     const auto present = t.present.find(part);
-    c.evidence |= present != t.present.end() && present->second.uncleared > 0;
+    c.evidence |= t.awaits_answers || (present != t.present.end() && present->second.uncleared > 0);
 }
 
 // --- Crashes
--- a/libs/quarantine/tests/test_quarantine.cpp
+++ b/libs/quarantine/tests/test_quarantine.cpp
@@ -269,16 +269,25 @@
     REQUIRE(proofs_since(t, 0).size() == 1);
     CHECK(proofs_since(t, 0).front().part == first_part);
     const std::uint64_t before = t.revision;
-    for (int i = 0; i < 300; ++i) {
+    for (int i = 1; i < 300; ++i) {
         answer(t, {first_part, subject}, at(1s + i * 1ms));
     }
     const std::uint64_t after = t.revision;
     CHECK(after - before <= 1);
+    // The first answer after a crash is, because it clears the part of it.
+    record_crash(t, engine(2), {first_part, deadly}, at(1300ms));
+    const std::uint64_t crash = t.revision;
+    for (int i = 0; i < 300; ++i) {
+        answer(t, {first_part, subject}, at(1301ms + i * 1ms));
+    }
+    CHECK(t.revision == crash + 1);
+    REQUIRE(proofs_since(t, crash).size() == 1);
+    CHECK(proofs_since(t, crash).front().at > at(1300ms));
     // A proof that comes back a little later than it went out is not sent on again.
     for (const proof& p : proofs_since(t, 0)) {
         merge(t, proof{p.part, p.at + 300ms});
     }
-    CHECK(t.revision == after);
+    CHECK(t.revision == crash + 1);
 }
 
 TEST_CASE("tables give the same verdicts in whatever order they learn") {
--- a/libs/quarantine/tests/test_quarantine_fleet.cpp
+++ b/libs/quarantine/tests/test_quarantine_fleet.cpp
@@ -27,7 +27,7 @@
 
 constexpr duration stable_window = 3s;
 constexpr std::uint32_t max_late_sends = 3;
-constexpr unsigned max_attempts = 3;
+constexpr unsigned max_sends = 3;
 constexpr part_id deadly_base = 1'000'000;
 
 // Which part of a deadly request is deadly.
@@ -210,6 +210,12 @@
                 }
             });
         }
+        // Every engine is lost, within two seconds.
+        at(between(5s, s_.end), [this] {
+            for (unsigned i = 0; i < s_.engines; ++i) {
+                at(between(0ms, 2s), [this, i] { crash(i); });
+            }
+        });
     }
 
     std::vector<counts*> counted(const request& r, time_point arrived) {
@@ -350,7 +356,7 @@
         const bool repeat =
             s_.decide != policy::quarantined || !may_be_cause(known, id, state.r->parts, now_);
         out_.sound_not_repeated += sound && !repeat;
-        if (repeat && state.r->sends < max_attempts && !refuses(state.gateway, *state.r)) {
+        if (repeat && state.r->sends < max_sends && !refuses(state.gateway, *state.r)) {
             return send(state.r, state.gateway, now_);
         }
         call_again(state.r);
