--- a/libs/quarantine/tests/test_quarantine.cpp
+++ b/libs/quarantine/tests/test_quarantine.cpp
@@ -148,6 +148,20 @@
     CHECK_FALSE(judge(t, {first_part, subject}, at(5s)).quarantined);
 }
 
+TEST_CASE("answers on other parts count even if they are learned after the last crash") {
+    table t;
+    answer(t, {first_part, deadly}, at(0s));
+    for (unsigned i = 0; i < 5; ++i) {
+        record_crash(t, engine(i), {deadly}, at(1s + i * 500ms));
+    }
+    REQUIRE_FALSE(judge(t, {deadly}, at(4s)).quarantined);
+    merge(t, proof{first_part, at(2500ms)});
+    merge(t, proof{subject, at(2500ms)});
+    REQUIRE_FALSE(judge(t, {deadly}, at(4s)).quarantined);
+    merge(t, proof{subject + 1, at(2500ms)});
+    CHECK(judge(t, {deadly}, at(4s)).quarantined);
+}
+
 TEST_CASE("engines lost one after the other convict no part that used to be answered") {
     table t;
     answer(t, {first_part, subject, subject + 1, subject + 2}, at(0s));
