Gateway: begun answers have until their deadline itself

Callers saw a stream end up to 20 ms before their deadline or the route's timeout.

Cause: the margin that lets an error arrive before the caller's own timer was part of the deadline of begun answers too, for which no error can be sent any more.

The margin applies now only while the head has not been sent.

Evidence: the new case of gateway.silent_upstreams checks time_left before and after the head; before, finish_by held the margin for both, and the case fails with CHECK( time_left(r, now) == milliseconds(480) ) values: CHECK( 500000000ns == 480ms )

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -356,7 +356,9 @@
 }
 
 duration time_left(const request_state& r, time_point now) {
-    return r.finish_by - now;
+    // The caller started its timer before the request arrived here.
+    constexpr duration caller_clock_margin = std::chrono::milliseconds(20);
+    return r.finish_by - now - (r.head_sent ? duration::zero() : caller_clock_margin);
 }
 
 bool may_send_again(core& c, const request_state& r) {
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -38,8 +38,6 @@
 // A gateway that has just started receives the deployment within this time if control is reachable.
 constexpr duration first_deployment_timeout = std::chrono::milliseconds(900);
 constexpr duration ensure_timeout = std::chrono::milliseconds(400);
-// Subtracted from the deadline: the caller started its timer before the request arrived here.
-constexpr duration caller_clock_margin = std::chrono::milliseconds(20);
 
 bool has_deployment(const core& c) {
     return c.view.current.version != 0;
@@ -65,8 +63,7 @@
     r.repeatable =
         route->kind == deployment::repeatability::idempotent || (streaming && route->resumable);
     const duration caller_timeout = r.facts.deadline.value_or(route->timeout);
-    r.finish_by =
-        r.request.arrived + std::min(route->timeout, caller_timeout) - caller_clock_margin;
+    r.finish_by = r.request.arrived + std::min(route->timeout, caller_timeout);
     return true;
 }
 
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -27,7 +27,7 @@
     std::uint32_t max_connections = 0;
     std::uint64_t kv_tokens = 0;
     std::uint32_t max_adapters = 0;
-    // The earlier of the caller's deadline and the route's timeout, less a margin.
+    // The earlier of the caller's deadline and the route's timeout.
     time_point finish_by{};
     std::vector<std::string> tried;
     // True if sending the request again has no additional effect.
@@ -79,6 +79,8 @@
 [[nodiscard]] dispatch::request_view make_request_view(const core& c, const request_state& r);
 // The key under which the demand of `r` is counted.
 [[nodiscard]] demand_key demand_key_of(const core& c, const request_state& r);
+// Time until the answer has to end. While the head of the answer has not been sent, a margin is
+// subtracted, so that an error reaches the caller in time.
 [[nodiscard]] duration time_left(const request_state& r, time_point now);
 
 // True if the request may be sent again in case the current attempt fails.
--- a/libs/gateway/tests/fixture.h
+++ b/libs/gateway/tests/fixture.h
@@ -19,6 +19,7 @@
 #include "answer_cut.h"
 #include "core.h"
 #include "request.h"
+#include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "session.h"
--- a/libs/gateway/tests/test_silent_upstreams.cpp
+++ b/libs/gateway/tests/test_silent_upstreams.cpp
@@ -259,3 +259,13 @@
     CHECK(silent.closed_early_at() != time_point{});
     CHECK(next.closed_early_at() != time_point{});
 }
+
+// Guards against a begun answer cut off before its deadline by the margin for errors.
+TEST_CASE("a begun answer has until its deadline, an error until shortly before") {
+    request_state r;
+    const time_point now{std::chrono::seconds(10)};
+    r.finish_by = now + milliseconds(500);
+    CHECK(time_left(r, now) == milliseconds(480));
+    r.head_sent = true;
+    CHECK(time_left(r, now) == milliseconds(500));
+}
