Agent: treat a stream that ends inside an event as broken off

Callers of the first interface received the torn rest of an event in a stream that ended as completed.

Cause: when the body was complete, the sink appended what followed the last whole event, whatever it was, and the attempt ended as completed.

Evidence, with the old rule in the sink's new place:

test_answer_sink.cpp:32: ERROR: CHECK( !sink.finish() ) is NOT correct! test_answer_sink.cpp:33: ERROR: CHECK( a->answer_bytes() == whole.size() ) is NOT correct! values: CHECK( 19 == 11 )

Change: such an answer has been broken off: the stream is resumed at the engine, or ends with unknown outcome. The sink has files of its own, so that it can be tested; they are otherwise unchanged.

Result: test_answer_sink passes.

--- a/libs/agent/src/work.cpp
+++ b/libs/agent/src/work.cpp
@@ -1,6 +1,7 @@
 // Runs attempts at the upstream: admission, queueing, exchange, preemption, resumption and cleanup.
 #include <boost/asio/io_context.hpp>
 
+#include "answer_sink.h"
 #include "core.h"
 #include "runtime/log.h"
 #include "runtime/trace.h"
@@ -18,8 +19,6 @@
 constexpr duration upstream_idle_timeout = std::chrono::seconds(60);
 constexpr duration cancel_timeout = std::chrono::seconds(2);
 constexpr duration min_retry_after = std::chrono::milliseconds(50);
-// An answer up to this size is sent in one frame, when it is complete.
-constexpr std::size_t small_answer_bytes = 64 * 1024;
 // Limit on the preemptions and resumptions of one attempt.
 constexpr std::uint32_t max_resumes = 3;
 
@@ -123,67 +122,6 @@
     std::string message;
 };
 
-// Appends an answer to its attempt. Of an event stream only complete events are appended, so that a
-// resumed stream can continue after the last one.
-class answer_sink {
-public:
-    answer_sink(std::shared_ptr<attempt> a, std::size_t limit) : a_(std::move(a)), limit_(limit) {}
-
-    void head(unsigned status, const runtime::header_list& headers) {
-        status_ = status;
-        runtime::http_request probe;
-        probe.headers = headers;
-        content_type_ = probe.header("Content-Type");
-        events_ = content_type_.starts_with("text/event-stream");
-        const bool refused = a_->request.kind() == rpc::work_completion && engine_refused(status);
-        if (!refused) {
-            a_->begin_answer(status, content_type_, events_);
-        }
-    }
-
-    bool body(std::string_view bytes) {
-        if (engine_refused(status_) && a_->request.kind() == rpc::work_completion) {
-            refusal_ += bytes.substr(0, 512);
-            return true;
-        }
-        if (a_->answer_bytes() + bytes.size() > limit_) {
-            return false;
-        }
-        if (!events_) {
-            a_->append(bytes, a_->answer_bytes() > small_answer_bytes);
-            return true;
-        }
-        pending_ += bytes;
-        const std::size_t last_event_end = pending_.rfind("\n\n");
-        if (last_event_end != std::string::npos) {
-            a_->append(std::string_view(pending_).substr(0, last_event_end + 2), true);
-            pending_.erase(0, last_event_end + 2);
-        }
-        return true;
-    }
-
-    // Appends the rest of a complete answer whose last bytes do not end an event.
-    void finish() {
-        a_->append(pending_, false);
-    }
-
-    [[nodiscard]] unsigned status() const {
-        return status_;
-    }
-    [[nodiscard]] const std::string& refusal() const {
-        return refusal_;
-    }
-
-private:
-    std::shared_ptr<attempt> a_;
-    std::size_t limit_;
-    unsigned status_ = 0;
-    bool events_ = false;
-    std::string content_type_;
-    std::string pending_;
-    std::string refusal_;
-};
-
 void handle_upstream_result(core& c, const std::shared_ptr<attempt>& a, const upstream_result& r);
 
 // One exchange with the upstream, on a traffic loop.
@@ -206,11 +144,10 @@
     const auto called = co_await client->call(std::move(request), reader, options);
     upstream_result r;
     if (succeeded(called)) {
-        r.completed = true;
+        r.completed = sink.finish();
         r.refused = a->request.kind() == rpc::work_completion && engine_refused(sink.status());
-        r.message = sink.refusal();
-        sink.finish();
-        if (!r.refused) {
+        r.message = r.completed ? sink.refusal() : "the stream ended inside an event";
+        if (r.completed && !r.refused) {
             // Ended on the traffic loop, so that the caller does not wait for the control loop.
             a->end(rpc::run_completed, "");
         }
