Gateway: log who ended a failed attempt, and the prompt parts that it shares

Callers saw 502 after engines of one kind of request crashed one after the other. The log of a failed attempt did not tell whether the upstream closed the connection, a time-out passed or the gateway itself gave up, whether an event had arrived, at which incarnation, or which prompt parts the request shared with others, so that crashes could not be counted by prompt part.

attempt_failed now has ended_by, event_arrived, sent_ms_ago, born_ms and shared_parts.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -167,15 +167,33 @@
     co_return value(connected);
 }
 
-void log_failed_attempt(const request_state& r, const std::string& upstream,
+// Hexadecimal ids of the prompt parts that other requests may share.
+std::string shared_parts_text(const dispatch::work& w) {
+    std::string out;
+    for (std::size_t i = 0; i + 1 < w.parts.size(); ++i) {
+        std::array<char, 20> id{};
+        std::snprintf(id.data(), id.size(), i == 0 ? "%llx" : ",%llx",
+                      static_cast<unsigned long long>(w.parts[i].id));
+        out += id.data();
+    }
+    return out;
+}
+
+void log_failed_attempt(const request_state& r, const std::string& upstream, end_cause ended_by,
                         std::string_view status) {
+    const time_point now = runtime::boot_now();
     log_event(severity::info, event::attempt_failed,
               {{"request", r.facts.id},
                {"upstream", upstream},
                {"sends", static_cast<std::uint64_t>(r.tried.size())},
                {"status", status},
+               {"ended_by", name_in(end_cause_names, ended_by)},
                {"reason", r.last_failure},
-               {"left_ms", to_milliseconds(time_left(r, runtime::boot_now()))}});
+               {"event_arrived", r.event_in_attempt ? "yes" : "no"},
+               {"sent_ms_ago", to_milliseconds(now - r.sent_at)},
+               {"born_ms", r.sent_to_born_ms},
+               {"shared_parts", shared_parts_text(r.facts.needs)},
+               {"left_ms", to_milliseconds(time_left(r, now))}});
 }
 
 bool is_stream(const exchange& e) {
@@ -232,6 +250,7 @@
         record_event_time(r, runtime::boot_now());
         if (first) {
             first = false;
+            r.event_in_attempt = true;
             guard.prompt_read();
             const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
             count_outcome(guard, attempt_outcome::served,
@@ -363,12 +382,15 @@
     r.backlog_ms = dispatch::backlog_ms(*to.to, runtime::boot_now());
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
+    r.event_in_attempt = false;
+    r.sent_to_born_ms = to.to->born_ms;
+    r.sent_at = runtime::boot_now();
     std::string failure;
     connection_ptr connection = co_await acquire_connection(c, r, id, address, failure);
     if (connection == nullptr) {
         r.last_failure = "connect: " + failure;
         count_outcome(guard, attempt_outcome::unreachable);
-        log_failed_attempt(r, id, "not_sent");
+        log_failed_attempt(r, id, end_cause::none, "not_sent");
         co_return attempt_end::not_run;
     }
     if (caller.caller_left()) {
@@ -394,6 +416,7 @@
     connection.reset();
     r.current = e;
     const time_point sent_at = runtime::boot_now();
+    r.sent_at = sent_at;
     const duration timeout = time_left(r, sent_at);
     r.last_progress_at = sent_at;
     const send_status sent = co_await e->send(out, timeout);
@@ -410,12 +433,12 @@
             if (!overloaded) {
                 count_outcome(guard, attempt_outcome::silent);
             }
-            log_failed_attempt(r, id, name_in(send_status_names, sent));
+            log_failed_attempt(r, id, e->ended_by(), name_in(send_status_names, sent));
         }
         co_return attempt_end::unknown;
     }
     if (const auto classified = classify_head(c, r, *e, to, guard)) {
-        log_failed_attempt(r, id, std::to_string(e->status()));
+        log_failed_attempt(r, id, end_cause::none, std::to_string(e->status()));
         // A short refusal is read to its end, so that the connection can be reused.
         std::string ignored;
         const bool small = e->content_length().value_or(max_buffered_answer_bytes) < 4096;
@@ -443,7 +466,7 @@
         end = co_await forward_buffered(caller, r, e, guard);
     }
     if (end != attempt_end::finished && !caller.caller_left()) {
-        log_failed_attempt(r, id, "broken");
+        log_failed_attempt(r, id, e->ended_by(), "broken");
     }
     if (connection_ptr reusable = e->take_reusable(default_keep_alive)) {
         keep(c.pools[id], reusable, runtime::boot_now());
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -47,6 +47,16 @@
     return out;
 }
 
+end_cause cause_of(const boost::system::error_code& e) {
+    if (e == beast::error::timeout) {
+        return end_cause::timeout;
+    }
+    const bool closed = e == http::error::end_of_stream || e == http::error::partial_message ||
+                        e == asio::error::eof || e == asio::error::connection_reset ||
+                        e == asio::error::connection_aborted || e == asio::error::broken_pipe;
+    return closed ? end_cause::upstream_closed : end_cause::bad_answer;
+}
+
 }  // namespace
 
 bool is_hop_header(std::string_view name, std::string_view connection) {
@@ -93,8 +103,13 @@
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
 }
 
+end_cause exchange::ended_by() const {
+    return cause_;
+}
+
 void exchange::set_failure(std::string_view step, const boost::system::error_code& e) {
     failure_ = std::string(step) + ": " + e.message();
+    cause_ = aborted_ ? end_cause::aborted : cause_of(e);
 }
 
 asio::awaitable<bool> exchange::write(const outgoing_request& r, deadline until) {
@@ -135,6 +150,7 @@
         if (status() / 100 == 1) {
             if (++interim_answers > max_interim_answers) {
                 failure_ = "more interim (1xx) answers than the limit";
+                cause_ = end_cause::bad_answer;
                 co_return false;
             }
             continue;
@@ -151,6 +167,7 @@
                                     !parser_->need_eof() && co_await skip_body(until);
         if (!skipped_answer) {
             failure_ = "received the answer to another request";
+            cause_ = end_cause::bad_answer;
             co_return false;
         }
     }
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -32,6 +32,26 @@
 
 enum class body_status { more, complete, broken };
 
+// What ended an exchange before its answer was complete.
+enum class end_cause {
+    none,
+    // The upstream closed or reset the connection.
+    upstream_closed,
+    timeout,
+    // `exchange::abort` was called.
+    aborted,
+    // The answer violates the protocol or a limit.
+    bad_answer,
+};
+
+inline constexpr name_table<end_cause, 5> end_cause_names{{
+    {end_cause::none, "none"},
+    {end_cause::upstream_closed, "upstream_closed"},
+    {end_cause::timeout, "timeout"},
+    {end_cause::aborted, "aborted"},
+    {end_cause::bad_answer, "bad_answer"},
+}};
+
 // The request of one attempt. `body` is not owned.
 struct outgoing_request {
     std::string method;
@@ -55,6 +75,7 @@
     [[nodiscard]] const answer_facts& facts() const;
     // Why the last step failed.
     [[nodiscard]] const std::string& failure() const;
+    [[nodiscard]] end_cause ended_by() const;
     // Empty if the answer does not state its length.
     [[nodiscard]] std::optional<std::uint64_t> content_length() const;
 
@@ -83,6 +104,7 @@
     header_list headers_;
     answer_facts facts_;
     std::string failure_;
+    end_cause cause_ = end_cause::none;
     bool aborted_ = false;
 };
 
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -45,6 +45,11 @@
     bool engine_was_idle = false;
 
     std::shared_ptr<exchange> current;
+    // The incarnation of the upstream of the current attempt, when the request was sent to it, and
+    // whether an event has arrived.
+    std::uint64_t sent_to_born_ms = 0;
+    time_point sent_at{};
+    bool event_in_attempt = false;
     // When the current upstream last sent something, or when the request was sent to it.
     time_point last_progress_at{};
     std::string last_failure;
