Test: a prompt part that crashes engines takes one engine after the other

A gateway on loopback in front of six engines that close all their connections when they begin to answer a prompt with one certain part.

--- /dev/null
+++ b/libs/gateway/tests/test_deadly_parts.cpp
@@ -0,0 +1,294 @@
+// A gateway on loopback in front of engines that crash when they begin to answer a prompt with one
+// certain part.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <future>
+#include <set>
+#include <thread>
+
+#include "core.h"
+#include "runtime/clock.h"
+#include "runtime/http.h"
+#include "session.h"
+
+using namespace burdockdeck;
+using namespace burdockdeck::gateway;
+using std::chrono::milliseconds;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t deadly_part = 0xdead;
+// Time in which an engine reads a prompt.
+constexpr milliseconds reading_time{20};
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
+
+std::vector<std::uint64_t> parse_parts(std::string_view text) {
+    std::vector<std::uint64_t> out;
+    while (!text.empty()) {
+        const std::size_t comma = text.find(',');
+        out.push_back(std::stoull(std::string(text.substr(0, comma)), nullptr, 16));
+        text = comma == std::string_view::npos ? "" : text.substr(comma + 1);
+    }
+    return out;
+}
+
+caller_protocol plain_protocol() {
+    caller_protocol p;
+    p.read_request = [](const header_list& headers) {
+        request_facts facts;
+        facts.id = find_header(headers, "Id");
+        facts.needs.model = "m";
+        for (const std::uint64_t part : parse_parts(find_header(headers, "Parts"))) {
+            facts.needs.parts.push_back({part, 100});
+            facts.needs.prompt_tokens += 100;
+        }
+        return facts;
+    };
+    p.is_reserved = [](std::string_view) { return false; };
+    p.write_attempt_headers = [](header_list&, const attempt_header_values&) {};
+    p.read_answer = [](unsigned, const header_list&) {
+        answer_facts f;
+        f.signed_by_upstream = true;
+        return f;
+    };
+    p.write_retry_after = [](header_list& headers, duration d) {
+        headers.emplace_back("Retry-After", std::to_string(to_seconds(d)));
+    };
+    return p;
+}
+
+deployment::site one_route() {
+    deployment::route r;
+    r.name = "maps";
+    r.host = "maps.example";
+    r.prefix = "/";
+    r.kind = deployment::repeatability::streaming;
+    r.resumable = true;
+    r.attempt_limit = 3;
+    r.timeout = std::chrono::seconds(5);
+    r.latency_objective = milliseconds(600);
+    r.services = {{"llm", 1}};
+    deployment::site s;
+    s.version = 1;
+    s.routes.push_back(r);
+    s.services.emplace_back();
+    s.services.back().name = "llm";
+    return s;
+}
+
+tcp::endpoint any_port() {
+    return {asio::ip::make_address("127.0.0.1"), 0};
+}
+
+// Reads a prompt, then streams two events; closes all its connections when it begins to answer a
+// prompt with the deadly part, and serves again at once. Used on its loop only, except `port`.
+class crashing_engine {
+public:
+    explicit crashing_engine(asio::io_context& context)
+        : context_(context), acceptor_(context, any_port()) {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+    [[nodiscard]] std::uint16_t port() const {
+        return acceptor_.local_endpoint().port();
+    }
+    std::atomic<int> deadly_requests{0};
+    std::atomic<int> crashes{0};
+
+private:
+    asio::awaitable<void> accept() {
+        while (true) {
+            auto [failed, socket] = co_await acceptor_.async_accept(as_result);
+            if (failed) {
+                co_return;
+            }
+            auto s = std::make_shared<tcp::socket>(std::move(socket));
+            open_.insert(s);
+            asio::co_spawn(context_, serve(s), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> s) {
+        std::string text;
+        while (s->is_open()) {
+            const auto [failed, size] = co_await asio::async_read_until(
+                *s, asio::dynamic_buffer(text), "\r\n\r\n", as_result);
+            if (failed) {
+                break;
+            }
+            const std::string head = text.substr(0, size);
+            text.erase(0, size);
+            const std::size_t at = head.find("Parts: ") + 7;
+            const auto parts = parse_parts(head.substr(at, head.find("\r\n", at) - at));
+            const bool deadly = std::count(parts.begin(), parts.end(), deadly_part) > 0;
+            deadly_requests += deadly ? 1 : 0;
+            asio::steady_timer timer(context_, reading_time);
+            (void)co_await timer.async_wait(as_result);
+            if (deadly) {
+                crash();
+                co_return;
+            }
+            const std::string answer =
+                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+                "chunked\r\n\r\n13\r\nid: 1\ndata: first\n\n\r\n12\r\nid: 2\ndata: "
+                "last\n\n\r\n0\r\n\r\n";
+            (void)co_await asio::async_write(*s, asio::buffer(answer), as_result);
+        }
+        open_.erase(s);
+    }
+
+    void crash() {
+        ++crashes;
+        for (const auto& s : open_) {
+            boost::system::error_code ignored;
+            s->close(ignored);
+        }
+        open_.clear();
+    }
+
+    asio::io_context& context_;
+    tcp::acceptor acceptor_;
+    std::set<std::shared_ptr<tcp::socket>> open_;
+};
+
+// Runs `work` on the traffic loop and waits for it.
+template <class Work>
+auto run_on_traffic_loop(core& c, Work work) {
+    std::packaged_task<decltype(work())()> task(std::move(work));
+    auto done = task.get_future();
+    c.traffic.post([&task] { task(); });
+    return done.get();
+}
+
+// A gateway, `engine_count` engines, and a caller that opens a connection for each request.
+class fleet {
+public:
+    static constexpr std::size_t engine_count = 6;
+
+    fleet() : front_(outside_, any_port()), work_(asio::make_work_guard(engine_context_)) {
+        for (std::size_t i = 0; i < engine_count; ++i) {
+            engines_.push_back(std::make_unique<crashing_engine>(engine_context_));
+        }
+        engine_thread_ = std::thread([this] { engine_context_.run(); });
+        gateway_settings settings;
+        settings.name = "g1";
+        auto access = runtime::rpc_access::create(settings.access);
+        REQUIRE(succeeded(access));
+        core_ = std::make_unique<core>(settings, plain_protocol(), value(access));
+        run_on_traffic_loop(*core_, [this] { core_->view.current = one_route(); });
+        announce_engines();
+    }
+    fleet(const fleet&) = delete;
+    fleet& operator=(const fleet&) = delete;
+    ~fleet() {
+        core_.reset();
+        engine_context_.stop();
+        engine_thread_.join();
+    }
+
+    // Announces each engine under its present incarnation; it changes with each crash.
+    void announce_engines() {
+        run_on_traffic_loop(*core_, [this] {
+            for (std::size_t i = 0; i < engines_.size(); ++i) {
+                schema::upstream_announcement a;
+                a.set_id("e" + std::to_string(i));
+                a.set_born_ms(1 + static_cast<std::uint64_t>(engines_[i]->crashes));
+                a.set_sequence(++announced_);
+                a.set_service("llm");
+                a.set_address("127.0.0.1:" + std::to_string(engines_[i]->port()));
+                a.set_slots(64);
+                a.add_models()->set_name("m");
+                (void)apply_announcement(core_->view, a, runtime::boot_now());
+            }
+        });
+    }
+
+    // The whole answer to one request, read until the gateway closes the connection.
+    std::string request(const std::string& parts) {
+        tcp::socket caller(outside_);
+        caller.connect(front_.local_endpoint());
+        tcp::socket accepted(core_->traffic.context());
+        front_.accept(accepted);
+        auto s = std::make_shared<session>(*core_, std::move(accepted));
+        runtime::spawn(core_->traffic, [s] { return s->run(); });
+        s.reset();
+        const std::string text =
+            "GET /a HTTP/1.1\r\nHost: maps.example\r\nConnection: close\r\nId: r" +
+            std::to_string(++requests_) + "\r\nParts: " + parts + "\r\n\r\n";
+        asio::write(caller, asio::buffer(text));
+        std::string answer;
+        boost::system::error_code ended;
+        asio::read(caller, asio::dynamic_buffer(answer), ended);
+        announce_engines();
+        return answer;
+    }
+
+    [[nodiscard]] int deadly_requests() const {
+        int sum = 0;
+        for (const auto& e : engines_) {
+            sum += e->deadly_requests;
+        }
+        return sum;
+    }
+
+private:
+    asio::io_context outside_;
+    tcp::acceptor front_;
+    asio::io_context engine_context_;
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::vector<std::unique_ptr<crashing_engine>> engines_;
+    std::thread engine_thread_;
+    std::unique_ptr<core> core_;
+    std::uint64_t announced_ = 0;
+    int requests_ = 0;
+};
+
+bool has_status(const std::string& answer, const std::string& status) {
+    return answer.starts_with("HTTP/1.1 " + status);
+}
+
+}  // namespace
+
+// Guards against one request taking an engine with each of its attempts.
+TEST_CASE("a request that may have crashed its engine is not sent to another one") {
+    fleet f;
+    CHECK(has_status(f.request("1,a1,1001"), "200"));
+    const std::string answer = f.request("1,a2,dead,1002");
+    CHECK(has_status(answer, "502"));
+    CHECK(f.deadly_requests() == 1);
+}
+
+// Guards against requests with one prompt part that crash engines one after the other.
+TEST_CASE("a prompt part that crashed engines is quarantined, others of its kind are served") {
+    fleet f;
+    CHECK(has_status(f.request("1,a1,1001"), "200"));
+    CHECK(has_status(f.request("1,a2,1002"), "200"));
+    for (int i = 0; i < 8; ++i) {
+        const std::string subject = "b" + std::to_string(i);
+        (void)f.request("1," + subject + ",dead,2" + std::to_string(i));
+    }
+    const int sent = f.deadly_requests();
+    CHECK(sent <= 3);
+    const std::string refused = f.request("1,a1,dead,3001");
+    CHECK(has_status(refused, "503"));
+    CHECK(refused.find("Retry-After: ") != std::string::npos);
+    CHECK(f.deadly_requests() == sent);
+    for (int i = 0; i < 8; ++i) {
+        const std::string subject = "b" + std::to_string(i);
+        CHECK(has_status(f.request("1," + subject + ",4" + std::to_string(i)), "200"));
+    }
+    CHECK(has_status(f.request("1,a1,5001"), "200"));
+}
