Control: pass on what gateways know of engines' crashes

Each gateway sees only some of the crashes that a prompt part causes, so that the quarantine of a part (libs/quarantine) has to be decided on what all gateways saw. A gateway reports crash news to every control instance that it watches; each instance merges the news into a table of its own and sends what changed to its watchers some 15 ms later, answers alone with the next update, everything on a new watch. Not in the log: gateways hold what must survive, and tell an instance that is new or was lost all that they know. Times travel as ages. Bounded by the table's own bounds.

--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -182,6 +182,17 @@
         });
     }
 
+    grpc::ServerUnaryReactor* report_crashes(grpc::CallbackServerContext* context,
+                                             const rpc::crash_report* request,
+                                             rpc::acknowledgement*) override {
+        return on_loop(instance_, context, [this, request](auto* reactor) {
+            if (instance_.site) {
+                merge_crash_report(instance_, *request);
+            }
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
 private:
     static constexpr std::uint32_t default_retry_ms = 300;
 
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -1,6 +1,7 @@
 // Merges and relays announcements, and keeps watching gateways up to date.
 #include "site.h"
 
+#include "quarantine/news.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
@@ -21,6 +22,8 @@
 constexpr duration maintenance_interval = std::chrono::milliseconds(200);
 // Interval of heartbeat updates to watchers.
 constexpr duration watch_heartbeat = std::chrono::milliseconds(400);
+// Several gateways report one crash at about the same time; their news goes on in one update.
+constexpr duration crash_batch_delay = std::chrono::milliseconds(15);
 // Upstreams that have left stay in the registry for this long, so that their late announcements are
 // recognised as outdated.
 constexpr duration departed_retention = std::chrono::seconds(60);
@@ -45,6 +48,12 @@
         p.set_model(copy.second);
     }
     watch.unloads_sent = true;
+    const schema::crash_news news =
+        quarantine::news_since(i.site->crashes, watch.sent_crashes, runtime::boot_now());
+    if (!quarantine::is_empty(news)) {
+        *update.mutable_crash_news() = news;
+    }
+    watch.sent_crashes = i.site->crashes.revision;
     update.set_gateways(static_cast<std::uint32_t>(i.site->watchers.size()));
     return update;
 }
@@ -168,6 +177,7 @@
         const time_point now = runtime::boot_now();
         i.metrics.set("burdockdeck_control_up_to_date", i.raft->is_up_to_date() ? 1 : 0);
         expire_upstreams(i, now);
+        quarantine::expire(i.site->crashes, now);
         resync_lost_peers(i, now);
         if (i.raft->is_leader()) {
             repair_members(i);
@@ -184,6 +194,12 @@
     }
 }
 
+boost::asio::awaitable<void> send_crashes_later(instance& i) {
+    co_await runtime::sleep_for(crash_batch_delay);
+    i.site->crash_update_scheduled = false;
+    update_site_watchers(i);
+}
+
 }  // namespace
 
 void start_site(instance& i) {
@@ -251,13 +267,35 @@
     record_deployment(i.site->history, i.raft->state().deployment());
     for (auto& [w, watch] : i.site->watchers) {
         const bool behind = watch.sent_version < i.raft->state().deployment().version() ||
-                            w->known() < i.site->upstreams.changes || !watch.unloads_sent;
+                            w->known() < i.site->upstreams.changes || !watch.unloads_sent ||
+                            watch.sent_crashes < i.site->crashes.revision;
         if (behind && w->ready()) {
             send_update(i, w, watch);
         }
     }
 }
 
+void merge_crash_report(instance& i, const rpc::crash_report& report) {
+    for (const schema::engine_crash& c : report.news().crashes()) {
+        if (!i.site->crashes.crashes.contains({c.upstream(), c.born_ms()})) {
+            log_event(severity::info, event::crash_reported,
+                      {{"gateway", report.gateway()},
+                       {"upstream", c.upstream()},
+                       {"born_ms", c.born_ms()},
+                       {"age_ms", c.age_ms()},
+                       {"unanswered", c.unanswered_size()}});
+        }
+    }
+    const bool changed = quarantine::merge(i.site->crashes, report.news(), runtime::boot_now());
+    i.metrics.set("burdockdeck_control_crashes",
+                  static_cast<double>(i.site->crashes.crashes.size()));
+    // Answers alone wait for the next update.
+    if (changed && !report.news().crashes().empty() && !i.site->crash_update_scheduled) {
+        i.site->crash_update_scheduled = true;
+        runtime::spawn(i.loop, [&i] { return send_crashes_later(i); });
+    }
+}
+
 rpc::fetch_deployment_reply answer_fetch(instance& i, std::uint64_t known_version) {
     record_deployment(i.site->history, i.raft->state().deployment());
     rpc::fetch_deployment_reply reply = patch_for(i.site->history, known_version);
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -13,6 +13,7 @@
 #include "deployment_history.h"
 #include "instance.h"
 #include "placement/moves.h"
+#include "quarantine/quarantine.h"
 #include "registry/registry.h"
 #include "watcher.h"
 
@@ -27,6 +28,8 @@
     std::uint64_t sent_version = 0;
     // False while `pending_unloads` has changed since the last update sent.
     bool unloads_sent = true;
+    // The revision of `site_state::crashes` in the last update sent.
+    std::uint64_t sent_crashes = 0;
 };
 
 // Demand is recorded per model, separately for long and short prompts.
@@ -61,6 +64,9 @@
     std::map<std::string, peer_link> peers;
     std::vector<schema::upstream_announcement> to_relay;
     bool relay_scheduled = false;
+    // What gateways reported of crashes; passed on to all gateways.
+    quarantine::table crashes;
+    bool crash_update_scheduled = false;
     // The latest report of each gateway, by name.
     std::map<std::string, demand_record> demand;
     deployment_history history;
@@ -106,6 +112,11 @@
 // otherwise from the empty text.
 [[nodiscard]] rpc::fetch_deployment_reply answer_fetch(instance& i, std::uint64_t known_version);
 
+// --- Crashes
+
+// Merges a gateway's crash news and passes on what is new to the watchers.
+void merge_crash_report(instance& i, const rpc::crash_report& report);
+
 // --- Placement
 
 // Plans loads and unloads while this instance is the leader.
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -79,9 +79,13 @@
     deployment_fetched,
     fetch_failed,
     patch_failed,
+    engine_crash_suspected,
+    engine_crash_refuted,
+    crash_reported,
+    request_quarantined,
 };
 
-inline constexpr name_table<event, 66> event_names{{
+inline constexpr name_table<event, 70> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -148,6 +152,10 @@
     {event::deployment_fetched, "deployment_fetched"},
     {event::fetch_failed, "fetch_failed"},
     {event::patch_failed, "patch_failed"},
+    {event::engine_crash_suspected, "engine_crash_suspected"},
+    {event::engine_crash_refuted, "engine_crash_refuted"},
+    {event::crash_reported, "crash_reported"},
+    {event::request_quarantined, "request_quarantined"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
--- a/libs/runtime/src/log.cpp
+++ b/libs/runtime/src/log.cpp
@@ -148,6 +148,8 @@
         case event::access_refused:
         case event::read_refused:
         case event::announcement_refused:
+        case event::engine_crash_suspected:
+        case event::request_quarantined:
             return line_priority::failed;
         default:
             return line_priority::change;
