Gateway: quarantine prompt parts that crash engines

Cause: failures were counted by upstream only, and a stream that may be resumed was sent to the next engine right after it had crashed the first.

A gateway now records a crash when an upstream closes the connection before an attempt's first event, and an answer when a first event arrives; shares both with the other gateways; and refuses requests whose parts are quarantined, before each choice and once more before the send. A request that may be the cause is not repeated. Attempts in hand that wait for a first event are ended when their parts are quarantined.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 
+#include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -167,18 +168,6 @@
     co_return value(connected);
 }
 
-// Hexadecimal ids of the prompt parts that other requests may share.
-std::string shared_parts_text(const dispatch::work& w) {
-    std::string out;
-    for (std::size_t i = 0; i + 1 < w.parts.size(); ++i) {
-        std::array<char, 20> id{};
-        std::snprintf(id.data(), id.size(), i == 0 ? "%llx" : ",%llx",
-                      static_cast<unsigned long long>(w.parts[i].id));
-        out += id.data();
-    }
-    return out;
-}
-
 void log_failed_attempt(const request_state& r, const std::string& upstream, end_cause ended_by,
                         std::string_view status) {
     const time_point now = runtime::boot_now();
@@ -192,7 +181,7 @@
                {"event_arrived", r.event_in_attempt ? "yes" : "no"},
                {"sent_ms_ago", to_milliseconds(now - r.sent_at)},
                {"born_ms", r.sent_to_born_ms},
-               {"shared_parts", shared_parts_text(r.facts.needs)},
+               {"shared_parts", to_text(quarantine::shared_parts(r.facts.needs))},
                {"left_ms", to_milliseconds(time_left(r, now))}});
 }
 
@@ -251,6 +240,7 @@
         if (first) {
             first = false;
             r.event_in_attempt = true;
+            record_first_event(c, r, guard.id, runtime::boot_now());
             guard.prompt_read();
             const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
             count_outcome(guard, attempt_outcome::served,
@@ -396,6 +386,10 @@
     if (caller.caller_left()) {
         co_return attempt_end::finished;
     }
+    if (judge_request(c, r, runtime::boot_now()).quarantined) {
+        keep(c.pools[id], connection, runtime::boot_now());
+        co_return attempt_end::not_run;
+    }
     dispatch::record_send(c.budgets[r.service], c.settings.budget, !r.tried.empty(),
                           runtime::boot_now());
     r.tried.push_back(id);
@@ -430,10 +424,14 @@
             const bool overloaded = u != nullptr && !r.facts.needs.model.empty() &&
                                     !dispatch::load_is_stale(*u, runtime::boot_now()) &&
                                     time_left(r, runtime::boot_now()) <= duration::zero();
-            if (!overloaded) {
+            // An attempt that this gateway ended says nothing about the engine.
+            const bool quarantined = e->ended_by() == end_cause::aborted &&
+                                     judge_request(c, r, runtime::boot_now()).quarantined;
+            if (!overloaded && !quarantined) {
                 count_outcome(guard, attempt_outcome::silent);
             }
             log_failed_attempt(r, id, e->ended_by(), name_in(send_status_names, sent));
+            record_broken_attempt(c, r, id, e->ended_by());
         }
         co_return attempt_end::unknown;
     }
@@ -464,9 +462,13 @@
                           to.expected_ms > 0 ? took_ms / (to.expected_ms + 50) : 0);
         }
         end = co_await forward_buffered(caller, r, e, guard);
+        if (end == attempt_end::finished && e->status() / 100 == 2) {
+            record_first_event(c, r, id, runtime::boot_now());
+        }
     }
     if (end != attempt_end::finished && !caller.caller_left()) {
         log_failed_attempt(r, id, e->ended_by(), "broken");
+        record_broken_attempt(c, r, id, e->ended_by());
     }
     if (connection_ptr reusable = e->take_reusable(default_keep_alive)) {
         keep(c.pools[id], reusable, runtime::boot_now());
--- a/libs/gateway/src/beacon_listener.cpp
+++ b/libs/gateway/src/beacon_listener.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <set>
 
+#include "quarantine.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
 
@@ -121,6 +122,7 @@
             continue;
         }
         const std::string ip = from.address().to_string();
+        record_engine_alive(core_, ip, b.born_ms(), runtime::boot_now());
         if (apply_beacon(core_.view, ip, b, runtime::boot_now())) {
             const auto timers = core_.waiting_timers;
             for (asio::steady_timer* t : timers) {
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -7,14 +7,17 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <tuple>
+#include <unordered_map>
 
 #include "connection_pool.h"
 #include "dispatch/budget.h"
 #include "dispatch/speed.h"
 #include "gateway/protocol.h"
 #include "gateway/settings.h"
+#include "quarantine/quarantine.h"
 #include "runtime/loop.h"
 #include "runtime/metrics.h"
 #include "runtime/rpc.h"
@@ -47,6 +50,23 @@
     std::uint32_t in_flight = 0;
 };
 
+// Crashes of engines as this gateway knows them.
+struct quarantine_state {
+    quarantine::table known;
+    // The revision of `known` up to which crashes were passed to control.
+    std::uint64_t shared_revision = 0;
+    // When engines last began to answer requests of this gateway, by prompt part; at most
+    // `quarantine::max_proofs`.
+    std::unordered_map<quarantine::part_id, time_point> own_answers;
+    // When news last changed `known`, and the parts with an answer since then that control was told
+    // of.
+    time_point changed_at{};
+    std::set<quarantine::part_id> shared_answers;
+    // Crashes that this gateway's own attempts showed in the last seconds.
+    std::map<quarantine::incarnation, time_point> own_crashes;
+    bool share_scheduled = false;
+};
+
 struct core {
     core(const gateway_settings& s, caller_protocol p, runtime::rpc_access a)
         : settings(s), protocol(std::move(p)), access(std::move(a)) {}
@@ -71,6 +91,9 @@
     std::list<std::weak_ptr<session>> sessions;
     std::list<std::weak_ptr<request_state>> open_requests;
     std::uint32_t active_requests = 0;
+    quarantine_state quarantine;
+    // Passes crash news to control; empty until a connection to control is set up.
+    std::function<void(schema::crash_news)> send_crash_news;
     // Starts a check with control whether the deployment in force is the newest;
     // `confirmation_pending` is true until the answer arrives.
     std::function<void()> request_confirmation;
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -6,6 +6,7 @@
 
 #include "dispatch/admission.h"
 #include "drain.h"
+#include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -242,7 +243,7 @@
 // not apply if that attempt ended before it sent the request: `sends_before` is the number of sends
 // before that attempt.
 bool may_try_again(core& c, const request_state& r, attempt_end end, std::size_t sends_before) {
-    if (end == attempt_end::unknown && !r.repeatable) {
+    if (end == attempt_end::unknown && (!r.repeatable || r.may_have_crashed_engine)) {
         return false;
     }
     if (r.tried.size() == sends_before) {
@@ -267,6 +268,27 @@
                     duration::zero());
 }
 
+// Refuses the request if its prompt has a part that crashes engines. True if it was refused.
+asio::awaitable<bool> refuse_if_quarantined(core& c, session& caller, request_state& r) {
+    const quarantine::verdict v = judge_request(c, r, runtime::boot_now());
+    if (!v.quarantined) {
+        co_return false;
+    }
+    c.metrics.count("burdockdeck_requests_quarantined_total");
+    log_event(severity::info, event::request_quarantined,
+              {{"request", r.facts.id},
+               {"parts", to_text(v.parts)},
+               {"crashes", v.crashes},
+               {"remaining_ms", to_milliseconds(v.remaining)}});
+    if (r.may_have_run) {
+        co_await answer_failure(c, caller, r);
+    } else {
+        std::string reason = "a part of the prompt has crashed engines";
+        co_await refuse(c, caller, r, unavailable, std::move(reason), v.remaining);
+    }
+    co_return true;
+}
+
 // Makes attempts one after the other. The number of attempts that fail before the request is sent
 // is limited, since each takes time.
 asio::awaitable<void> run_attempts(core& c, session& caller, request_state& r) {
@@ -277,6 +299,9 @@
         if (time_left(r, runtime::boot_now()) <= duration::zero()) {
             break;
         }
+        if (co_await refuse_if_quarantined(c, caller, r)) {
+            co_return;
+        }
         const auto chosen = co_await next_upstream(c, caller, r);
         if (!chosen) {
             break;
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -29,6 +29,9 @@
     bool repeatable = false;
     // True once an attempt ended with unknown outcome: the request may have been executed.
     bool may_have_run = false;
+    // True once an engine crashed before it began to answer and the prompt may be the cause; the
+    // request is then not sent again.
+    bool may_have_crashed_engine = false;
 
     // Streams: whether the head was sent to the caller, and the events forwarded since.
     bool head_sent = false;
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -8,6 +8,7 @@
 
 #include "beacon_listener.h"
 #include "core.h"
+#include "quarantine.h"
 #include "request.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -204,6 +205,7 @@
             }
         }
         c.view.gateways = std::max(1U, update.gateways());
+        merge_crash_news(c, update.crash_news(), now);
         if (changed) {
             view_changed();
         }
@@ -247,6 +249,7 @@
             c.sessions.remove_if([](const std::weak_ptr<session>& s) { return s.expired(); });
             if (++maintenance_runs % maintenance_runs_per_report == 0) {
                 c.control.post([this, report = collect_report()] { control->report(report); });
+                share_crashes(c, now);
             }
         }
     }
@@ -341,6 +344,10 @@
     c.request_confirmation = [self] {
         self->gateway_core.control.post([self] { self->control->request_confirmation(); });
     };
+    c.send_crash_news = [self](schema::crash_news news) {
+        self->gateway_core.control.post(
+            [self, news = std::move(news)] { self->control->share(news); });
+    };
     c.control.post([self] { self->control->start(); });
     s->beacons = std::make_unique<beacon_listener>(c);
     if (const std::string failed = s->beacons->open(); !failed.empty()) {
--- a/libs/gateway/src/site_client.cpp
+++ b/libs/gateway/src/site_client.cpp
@@ -10,6 +10,7 @@
 #include <set>
 
 #include "deployment_fetch.h"
+#include "quarantine/news.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
@@ -78,6 +79,9 @@
     duration backoff = initial_backoff;
     bool connected = false;
     bool leading = false;
+    // The revision of `shared_crashes` that it has, and whether a report to it is under way.
+    std::uint64_t reported_crashes = 0;
+    bool reporting_crashes = false;
 };
 
 }  // namespace
@@ -93,6 +97,8 @@
     std::map<std::string, control_instance> instances;
     deployment_text newest;
     fetch_state fetch;
+    // Crashes that this gateway knows, and the answers that it received itself.
+    quarantine::table shared_crashes;
     bool seen_up_to_date = false;
     // Deadline for control's confirmation that no version newer than `newest` exists; empty if none
     // is requested.
@@ -149,6 +155,7 @@
         c.version = update.version();
         if (!c.connected) {
             c.connected = true;
+            c.reported_crashes = 0;
             log_event(severity::info, event::control_regained,
                       {{"control", address}, {"version", update.version()}});
         }
@@ -290,12 +297,54 @@
             }
         }
         fetch_if_needed(now);
+        quarantine::expire(shared_crashes, now);
+        report_crashes();
         std::erase_if(instances, [&](const auto& item) {
             return !item.second.connected &&
                    now - item.second.last_listed_at > unlisted_instance_ttl;
         });
     }
 
+    void report_crashes() {
+        for (auto& [address, c] : instances) {
+            if (c.connected && c.stub && !c.reporting_crashes &&
+                c.reported_crashes < shared_crashes.revision) {
+                c.reporting_crashes = true;
+                runtime::spawn(control_loop, [self = shared_from_this(), address = address] {
+                    return self->report_crashes_to(address);
+                });
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> report_crashes_to(std::string address) {
+        const std::uint64_t serial = instances[address].serial;
+        const std::shared_ptr<rpc::control::Stub> stub = instances[address].stub;
+        const std::uint64_t revision = shared_crashes.revision;
+        rpc::crash_report request;
+        request.set_gateway(settings.name);
+        *request.mutable_news() = quarantine::news_since(
+            shared_crashes, instances[address].reported_crashes, runtime::boot_now());
+        bool taken = true;
+        if (stub != nullptr && !quarantine::is_empty(request.news())) {
+            const auto start = [&stub](auto... arguments) {
+                stub->async()->report_crashes(arguments...);
+            };
+            auto answer = co_await runtime::call_unary<rpc::acknowledgement>(
+                control_loop.context(), access, std::move(request), report_timeout, start);
+            taken = succeeded(answer);
+        }
+        const auto found = instances.find(address);
+        if (stopped || found == instances.end()) {
+            co_return;
+        }
+        control_instance& c = found->second;
+        c.reporting_crashes = false;
+        if (taken && c.serial == serial) {
+            c.reported_crashes = std::max(c.reported_crashes, revision);
+        }
+    }
+
     boost::asio::awaitable<void> run_watches() {
         const auto self = shared_from_this();
         while (!stopped) {
@@ -358,4 +407,10 @@
     }
 }
 
+void site_client::share(const schema::crash_news& news) {
+    if (quarantine::merge(state_->shared_crashes, news, runtime::boot_now())) {
+        state_->report_crashes();
+    }
+}
+
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/src/site_client.h
+++ b/libs/gateway/src/site_client.h
@@ -44,6 +44,9 @@
     void set_seeds(const std::vector<settings::endpoint>& seeds);
     // Sends the demand report to every instance whose last update states that it is the leader.
     void report(const rpc::demand_report& report);
+    // Sends crash news to every instance, repeating what does not arrive. An instance that is new
+    // or was lost gets all that is known.
+    void share(const schema::crash_news& news);
 
 private:
     struct state;
--- a/libs/gateway/tests/test_deadly_parts.cpp
+++ b/libs/gateway/tests/test_deadly_parts.cpp
@@ -19,6 +19,8 @@
 #include <thread>
 
 #include "core.h"
+#include "quarantine.h"
+#include "quarantine/news.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "session.h"
@@ -33,7 +35,7 @@
 
 constexpr std::uint64_t deadly_part = 0xdead;
 // Time in which an engine reads a prompt.
-constexpr milliseconds reading_time{20};
+constexpr milliseconds short_reading_time{20};
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 std::vector<std::uint64_t> parse_parts(std::string_view text) {
@@ -98,8 +100,8 @@
 // prompt with the deadly part, and serves again at once. Used on its loop only, except `port`.
 class crashing_engine {
 public:
-    explicit crashing_engine(asio::io_context& context)
-        : context_(context), acceptor_(context, any_port()) {
+    crashing_engine(asio::io_context& context, milliseconds reading_time)
+        : context_(context), acceptor_(context, any_port()), reading_time_(reading_time) {
         asio::co_spawn(context, accept(), asio::detached);
     }
     [[nodiscard]] std::uint16_t port() const {
@@ -135,7 +137,7 @@
             const auto parts = parse_parts(head.substr(at, head.find("\r\n", at) - at));
             const bool deadly = std::count(parts.begin(), parts.end(), deadly_part) > 0;
             deadly_requests += deadly ? 1 : 0;
-            asio::steady_timer timer(context_, reading_time);
+            asio::steady_timer timer(context_, reading_time_);
             (void)co_await timer.async_wait(as_result);
             if (deadly) {
                 crash();
@@ -161,6 +163,7 @@
 
     asio::io_context& context_;
     tcp::acceptor acceptor_;
+    milliseconds reading_time_;
     std::set<std::shared_ptr<tcp::socket>> open_;
 };
 
@@ -178,9 +181,10 @@
 public:
     static constexpr std::size_t engine_count = 6;
 
-    fleet() : front_(outside_, any_port()), work_(asio::make_work_guard(engine_context_)) {
+    explicit fleet(milliseconds reading_time = short_reading_time)
+        : front_(outside_, any_port()), work_(asio::make_work_guard(engine_context_)) {
         for (std::size_t i = 0; i < engine_count; ++i) {
-            engines_.push_back(std::make_unique<crashing_engine>(engine_context_));
+            engines_.push_back(std::make_unique<crashing_engine>(engine_context_, reading_time));
         }
         engine_thread_ = std::thread([this] { engine_context_.run(); });
         gateway_settings settings;
@@ -236,6 +240,12 @@
         return answer;
     }
 
+    // Runs `work` on the traffic loop with the gateway's core.
+    template <class Work>
+    auto with_core(Work work) {
+        return run_on_traffic_loop(*core_, [this, work] { return work(*core_); });
+    }
+
     [[nodiscard]] int deadly_requests() const {
         int sum = 0;
         for (const auto& e : engines_) {
@@ -292,3 +302,52 @@
     }
     CHECK(has_status(f.request("1,a1,5001"), "200"));
 }
+
+// Guards against a part that takes engines from each gateway anew.
+TEST_CASE("crashes that one gateway saw quarantine the part at another one") {
+    fleet a;
+    fleet b;
+    a.with_core([&b](core& c) {
+        c.send_crash_news = [&b](const schema::crash_news& news) {
+            b.with_core([&news](core& other) {
+                merge_crash_news(other, news, runtime::boot_now());
+                return 0;
+            });
+        };
+        return 0;
+    });
+    CHECK(has_status(a.request("1,a1,1001"), "200"));
+    CHECK(has_status(b.request("1,a1,1002"), "200"));
+    (void)a.request("1,a2,dead,2001");
+    (void)a.request("1,a3,dead,2002");
+    // Crashes are shared some milliseconds later.
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(has_status(b.request("1,a4,dead,2003"), "503"));
+    CHECK(b.deadly_requests() == 0);
+    CHECK(has_status(b.request("1,a2,2004"), "200"));
+}
+
+// Guards against engines that are lost to requests that were sent before the part was known.
+TEST_CASE("a request that an engine still reads is ended when its part is quarantined") {
+    fleet f(milliseconds(4000));
+    const auto began = std::chrono::steady_clock::now();
+    std::thread crashes_elsewhere([&f] {
+        while (f.deadly_requests() == 0) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
+        quarantine::table other;
+        const time_point now = runtime::boot_now();
+        quarantine::record_crash(other, {"x1", 1}, {1, 0xa2, deadly_part}, now - milliseconds(500));
+        quarantine::record_crash(other, {"x2", 1}, {1, 0xa3, deadly_part}, now);
+        const schema::crash_news news = quarantine::news_since(other, 0, now);
+        f.with_core([&news](core& c) {
+            merge_crash_news(c, news, runtime::boot_now());
+            return 0;
+        });
+    });
+    const std::string answer = f.request("1,a4,dead,3001");
+    crashes_elsewhere.join();
+    CHECK(has_status(answer, "502"));
+    CHECK(f.deadly_requests() == 1);
+    CHECK(std::chrono::steady_clock::now() - began < milliseconds(2000));
+}
