--- a/libs/quarantine/tests/test_quarantine.cpp
+++ b/libs/quarantine/tests/test_quarantine.cpp
@@ -148,6 +148,20 @@
     CHECK_FALSE(judge(t, {first_part, subject}, at(5s)).quarantined);
 }
 
+TEST_CASE("answers on other parts count even if they are learned after the last crash") {
+    table t;
+    answer(t, {first_part, deadly}, at(0s));
+    for (unsigned i = 0; i < 5; ++i) {
+        record_crash(t, engine(i), {deadly}, at(1s + i * 500ms));
+    }
+    REQUIRE_FALSE(judge(t, {deadly}, at(4s)).quarantined);
+    merge(t, proof{first_part, at(2500ms)});
+    merge(t, proof{subject, at(2500ms)});
+    REQUIRE_FALSE(judge(t, {deadly}, at(4s)).quarantined);
+    merge(t, proof{subject + 1, at(2500ms)});
+    CHECK(judge(t, {deadly}, at(4s)).quarantined);
+}
+
 TEST_CASE("engines lost one after the other convict no part that used to be answered") {
     table t;
     answer(t, {first_part, subject, subject + 1, subject + 2}, at(0s));
@@ -269,16 +283,25 @@
     REQUIRE(proofs_since(t, 0).size() == 1);
     CHECK(proofs_since(t, 0).front().part == first_part);
     const std::uint64_t before = t.revision;
-    for (int i = 0; i < 300; ++i) {
+    for (int i = 1; i < 300; ++i) {
         answer(t, {first_part, subject}, at(1s + i * 1ms));
     }
     const std::uint64_t after = t.revision;
     CHECK(after - before <= 1);
+    // The first answer after a crash is, because it clears the part of it.
+    record_crash(t, engine(2), {first_part, deadly}, at(1300ms));
+    const std::uint64_t crash = t.revision;
+    for (int i = 0; i < 300; ++i) {
+        answer(t, {first_part, subject}, at(1301ms + i * 1ms));
+    }
+    CHECK(t.revision == crash + 1);
+    REQUIRE(proofs_since(t, crash).size() == 1);
+    CHECK(proofs_since(t, crash).front().at > at(1300ms));
     // A proof that comes back a little later than it went out is not sent on again.
     for (const proof& p : proofs_since(t, 0)) {
         merge(t, proof{p.part, p.at + 300ms});
     }
-    CHECK(t.revision == after);
+    CHECK(t.revision == crash + 1);
 }
 
 TEST_CASE("tables give the same verdicts in whatever order they learn") {
