--- a/libs/gateway/src/answer_cut.h
+++ b/libs/gateway/src/answer_cut.h
@@ -28,11 +28,13 @@
     caller_left,
     // Writing to the caller failed.
     write_failed,
+    // A part of the prompt has crashed engines.
+    quarantined,
     // The process exits with the request still open.
     grace_ended,
 };
 
-inline constexpr name_table<cut_cause, 8> cut_cause_names{{
+inline constexpr name_table<cut_cause, 9> cut_cause_names{{
     {cut_cause::none, "none"},
     {cut_cause::silence_limit, "silence_limit"},
     {cut_cause::deadline, "deadline"},
@@ -40,6 +42,7 @@
     {cut_cause::answer_invalid, "answer_invalid"},
     {cut_cause::caller_left, "caller_left"},
     {cut_cause::write_failed, "write_failed"},
+    {cut_cause::quarantined, "quarantined"},
     {cut_cause::grace_ended, "grace_ended"},
 }};
 
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstdio>
 
+#include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -139,6 +140,7 @@
 
 void log_failed_attempt(const request_state& r, const std::string& upstream,
                         std::string_view status) {
+    const time_point now = runtime::boot_now();
     log_event(severity::info, event::attempt_failed,
               {{"request", r.facts.id},
                {"upstream", upstream},
@@ -147,9 +149,13 @@
                {"reason", r.last_failure},
                {"cause", name_in(cut_cause_names, r.ending.cause)},
                {"begun", r.head_sent ? "yes" : "no"},
-               {"age_ms", to_milliseconds(runtime::boot_now() - r.request.arrived)},
+               {"event_arrived", r.event_in_attempt ? "yes" : "no"},
+               {"age_ms", to_milliseconds(now - r.request.arrived)},
+               {"sent_ms_ago", to_milliseconds(now - r.sent_at)},
                {"silence_ms", to_milliseconds(r.ending.silence)},
-               {"left_ms", to_milliseconds(time_left(r, runtime::boot_now()))}});
+               {"born_ms", r.sent_to_born_ms},
+               {"shared_parts", to_text(quarantine::shared_parts(r.facts.needs))},
+               {"left_ms", to_milliseconds(time_left(r, now))}});
 }
 
 bool is_stream(const exchange& e) {
@@ -223,7 +229,9 @@
             status = body_status::broken;
         }
         if (status == body_status::broken) {
-            record_ending(r, e->timed_out() ? cut_cause::deadline : cut_cause::upstream_closed,
+            record_ending(r,
+                          e->ended_by() == end_cause::timeout ? cut_cause::deadline
+                                                              : cut_cause::upstream_closed,
                           e->failure(), runtime::boot_now());
         }
         if (events.empty()) {
@@ -237,6 +245,8 @@
         if (first) {
             first = false;
             r.cut.reset();
+            r.event_in_attempt = true;
+            record_first_event(c, r, guard.id, runtime::boot_now());
             guard.prompt_read();
             const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
             count_outcome(guard, attempt_outcome::served,
@@ -305,7 +315,8 @@
         r.last_failure = e->failure().empty()
                              ? "answer longer than the limit or not complete before the deadline"
                              : e->failure();
-        const bool late = e->timed_out() || time_left(r, runtime::boot_now()) <= duration::zero();
+        const bool late = e->ended_by() == end_cause::timeout ||
+                          time_left(r, runtime::boot_now()) <= duration::zero();
         const bool too_long = status == body_status::more && !late;
         record_ending(r,
                       late       ? cut_cause::deadline
@@ -439,6 +450,9 @@
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
     r.ending = {};
+    r.event_in_attempt = false;
+    r.sent_to_born_ms = prepared != nullptr ? prepared->born_ms : to.to->born_ms;
+    r.sent_at = runtime::boot_now();
     std::shared_ptr<exchange> e;
     if (prepared != nullptr) {
         e = prepared->sent_on;
@@ -454,6 +468,10 @@
         if (caller.caller_left()) {
             co_return attempt_end::finished;
         }
+        if (judge_request(c, r, runtime::boot_now()).quarantined) {
+            keep(c.pools[id], connection, runtime::boot_now());
+            co_return attempt_end::not_run;
+        }
         record_send_to(c, r, id);
         e = std::make_shared<exchange>(connection, c.protocol);
     }
@@ -464,6 +482,7 @@
     r.current_upstream = id;
     r.awaits_upstream = true;
     const time_point sent_at = prepared != nullptr ? prepared->sent_at : runtime::boot_now();
+    r.sent_at = sent_at;
     r.last_progress_at = sent_at;
     send_status sent = send_status::not_sent;
     if (prepared != nullptr) {
@@ -475,8 +494,10 @@
     }
     if (sent != send_status::answered) {
         r.last_failure = e->failure();
-        record_ending(r, e->timed_out() ? cut_cause::deadline : cut_cause::upstream_closed,
-                      e->failure(), runtime::boot_now());
+        record_ending(
+            r,
+            e->ended_by() == end_cause::timeout ? cut_cause::deadline : cut_cause::upstream_closed,
+            e->failure(), runtime::boot_now());
         e->abort();
         if (!caller.caller_left()) {
             const dispatch::upstream* u = guard.find();
@@ -485,10 +506,14 @@
             const bool overloaded = u != nullptr && !r.facts.needs.model.empty() &&
                                     !dispatch::load_is_stale(*u, runtime::boot_now()) &&
                                     time_left(r, runtime::boot_now()) <= duration::zero();
-            if (!overloaded) {
+            // An attempt that this gateway ended says nothing about the engine.
+            const bool quarantined = e->ended_by() == end_cause::aborted &&
+                                     judge_request(c, r, runtime::boot_now()).quarantined;
+            if (!overloaded && !quarantined) {
                 count_outcome(guard, attempt_outcome::silent);
             }
             log_failed_attempt(r, id, name_in(send_status_names, sent));
+            record_broken_attempt(c, r, id, e->ended_by());
         }
         co_return attempt_end::unknown;
     }
@@ -521,9 +546,13 @@
                           to.expected_ms > 0 ? took_ms / (to.expected_ms + 50) : 0);
         }
         end = co_await forward_buffered(caller, r, e, guard);
+        if (end == attempt_end::finished && e->status() / 100 == 2) {
+            record_first_event(c, r, id, runtime::boot_now());
+        }
     }
     if (end != attempt_end::finished && !caller.caller_left()) {
         log_failed_attempt(r, id, "broken");
+        record_broken_attempt(c, r, id, e->ended_by());
     }
     if (connection_ptr reusable = e->take_reusable(default_keep_alive)) {
         keep(c.pools[id], reusable, runtime::boot_now());
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -51,6 +51,16 @@
     return out;
 }
 
+end_cause cause_of(const boost::system::error_code& e) {
+    if (e == beast::error::timeout) {
+        return end_cause::timeout;
+    }
+    const bool closed = e == http::error::end_of_stream || e == http::error::partial_message ||
+                        e == asio::error::eof || e == asio::error::connection_reset ||
+                        e == asio::error::connection_aborted || e == asio::error::broken_pipe;
+    return closed ? end_cause::upstream_closed : end_cause::bad_answer;
+}
+
 }  // namespace
 
 bool is_hop_header(std::string_view name, std::string_view connection) {
@@ -92,10 +102,6 @@
     return failure_;
 }
 
-bool exchange::timed_out() const {
-    return timed_out_;
-}
-
 std::optional<std::uint64_t> exchange::content_length() const {
     const auto length = parser_->content_length();
     return length ? std::optional<std::uint64_t>(*length) : std::nullopt;
@@ -105,9 +111,19 @@
     return parser_->need_eof();
 }
 
+end_cause exchange::ended_by() const {
+    return cause_;
+}
+
 void exchange::set_failure(std::string_view step, const boost::system::error_code& e) {
     failure_ = std::string(step) + ": " + e.message();
-    timed_out_ = e == beast::error::timeout;
+    set_cause(cause_of(e));
+}
+
+void exchange::set_cause(end_cause c) {
+    if (cause_ == end_cause::none) {
+        cause_ = c;
+    }
 }
 
 asio::awaitable<bool> exchange::write(const outgoing_request& r, deadline until) {
@@ -148,6 +164,7 @@
         if (status() / 100 == 1) {
             if (++interim_answers > max_interim_answers) {
                 failure_ = "more interim (1xx) answers than the limit";
+                set_cause(end_cause::bad_answer);
                 co_return false;
             }
             continue;
@@ -165,6 +182,7 @@
         }
         if (facts_.echoed_id.empty() && first_on_connection) {
             failure_ = "received an answer without the request's id";
+            set_cause(end_cause::bad_answer);
             co_return false;
         }
         runtime::log_event(runtime::severity::info, runtime::event::answer_skipped,
@@ -176,6 +194,7 @@
                                     !parser_->need_eof() && co_await skip_body(until);
         if (!skipped_answer) {
             failure_ = "received the answer to another request";
+            set_cause(end_cause::bad_answer);
             co_return false;
         }
     }
@@ -236,6 +255,7 @@
 
 void exchange::abort() {
     aborted_ = true;
+    set_cause(end_cause::aborted);
     boost::system::error_code ignored;
     c_->stream.socket().close(ignored);
 }
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -6,6 +6,7 @@
 
 #include "dispatch/admission.h"
 #include "drain.h"
+#include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -253,6 +254,27 @@
                     duration::zero());
 }
 
+// Refuses the request if its prompt has a part that crashes engines. True if it was refused.
+asio::awaitable<bool> refuse_if_quarantined(core& c, session& caller, request_state& r) {
+    const quarantine::verdict v = judge_request(c, r, runtime::boot_now());
+    if (!v.quarantined) {
+        co_return false;
+    }
+    c.metrics.count("burdockdeck_requests_quarantined_total");
+    log_event(severity::info, event::request_quarantined,
+              {{"request", r.facts.id},
+               {"parts", to_text(v.parts)},
+               {"crashes", v.crashes},
+               {"remaining_ms", to_milliseconds(v.remaining)}});
+    if (r.may_have_run) {
+        co_await answer_failure(c, caller, r);
+    } else {
+        std::string reason = "a part of the prompt has crashed engines";
+        co_await refuse(c, caller, r, unavailable, std::move(reason), v.remaining);
+    }
+    co_return true;
+}
+
 // Makes attempts one after the other. The number of attempts that fail before the request is sent
 // is limited, since each takes time.
 asio::awaitable<void> run_attempts(core& c, session& caller, request_state& r) {
@@ -263,6 +285,9 @@
         if (time_left(r, runtime::boot_now()) <= duration::zero()) {
             break;
         }
+        if (co_await refuse_if_quarantined(c, caller, r)) {
+            co_return;
+        }
         const std::shared_ptr<successor> prepared = take_successor(r);
         const auto chosen = prepared != nullptr ? std::optional(prepared->chosen)
                                                 : co_await next_upstream(c, caller, r);
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -34,6 +34,9 @@
     bool repeatable = false;
     // True once an attempt ended with unknown outcome: the request may have been executed.
     bool may_have_run = false;
+    // True once an engine crashed before it began to answer and the prompt may be the cause; the
+    // request is then not sent again.
+    bool may_have_crashed_engine = false;
 
     // Streams: whether the head was sent to the caller, and the events forwarded since.
     bool head_sent = false;
@@ -57,6 +60,11 @@
     bool awaits_upstream = false;
     // Another upstream that the request is being sent to while the current one is silent.
     std::shared_ptr<gateway::successor> successor;
+    // The incarnation of the upstream of the current attempt, when the request was sent to it, and
+    // whether an event has arrived.
+    std::uint64_t sent_to_born_ms = 0;
+    time_point sent_at{};
+    bool event_in_attempt = false;
     // When the current upstream last sent something, or when the request was sent to it.
     time_point last_progress_at{};
     std::string last_failure;
@@ -66,9 +74,9 @@
 };
 
 // True if sending the request again, after the events that were forwarded, has no additional
-// effect.
+// effect and cannot crash another engine.
 [[nodiscard]] inline bool is_repeatable(const request_state& r) {
-    return r.repeatable && r.events.events_without_id == 0;
+    return r.repeatable && r.events.events_without_id == 0 && !r.may_have_crashed_engine;
 }
 
 // How one attempt ended.
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -8,6 +8,7 @@
 
 #include "core.h"
 #include "dispatch/takeover.h"
+#include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -56,7 +57,7 @@
 bool may_prepare(core& c, const request_state& r, const dispatch::choice& next, time_point now) {
     const duration needed = expected_time(next);
     return r.current != nullptr && r.awaits_upstream && may_send_again(c, r) &&
-           time_left(r, now) > needed &&
+           !judge_request(c, r, now).quarantined && time_left(r, now) > needed &&
            dispatch::next_step(describe(c, r, now), needed, now) == takeover_step::prepare &&
            // A process that was suspended has yet to read what arrived meanwhile.
            !r.current->has_unread_bytes();
@@ -172,6 +173,9 @@
                    answered ? std::to_string(s->sent_on->status())
                             : std::string(name_in(send_status_names, status)),
                    s->sent_on->failure());
+    if (!answered) {
+        record_unanswered(c, *r, {s->id, s->born_ms}, s->sent_on->ended_by());
+    }
     withdraw_successor(*r);
 }
 
--- a/libs/gateway/src/takeover.h
+++ b/libs/gateway/src/takeover.h
@@ -24,11 +24,13 @@
         : chosen(to),
           id(to.to->id),
           address(to.to->address),
+          born_ms(to.to->born_ms),
           finished(context, std::chrono::steady_clock::time_point::max()) {}
 
     dispatch::choice chosen;
     std::string id;
     std::string address;
+    std::uint64_t born_ms;
     std::shared_ptr<exchange> sent_on;
     time_point sent_at{};
     std::optional<send_status> status;
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -81,9 +81,13 @@
     fetch_failed,
     patch_failed,
     answer_skipped,
+    engine_crash_suspected,
+    engine_crash_refuted,
+    crash_reported,
+    request_quarantined,
 };
 
-inline constexpr name_table<event, 68> event_names{{
+inline constexpr name_table<event, 72> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -152,6 +156,10 @@
     {event::fetch_failed, "fetch_failed"},
     {event::patch_failed, "patch_failed"},
     {event::answer_skipped, "answer_skipped"},
+    {event::engine_crash_suspected, "engine_crash_suspected"},
+    {event::engine_crash_refuted, "engine_crash_refuted"},
+    {event::crash_reported, "crash_reported"},
+    {event::request_quarantined, "request_quarantined"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
