Gateway: pass on no failure while a replacement works on the call

Callers got a 500 for an idempotent call though a second upstream was about to answer it.

Cause: when a silent upstream answered with an error after the call had been sent to a successor, classify_head asked whether the call may be sent again. The send to the successor had used the last attempt, so the error was forwarded and the successor was withdrawn.

Change: an error of the silent upstream ends its attempt if the call was sent to a successor; the attempt goes on there. All cases of gateway.silent_upstreams pass.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -357,7 +357,8 @@
     if (status >= first_server_error) {
         r.last_failure = "answered " + std::to_string(status);
         count_outcome(guard, attempt_outcome::failed);
-        if (!r.head_sent && may_send_again(c, r)) {
+        const bool sent_to_successor = r.successor != nullptr && r.successor->sent_on != nullptr;
+        if (!r.head_sent && (sent_to_successor || may_send_again(c, r))) {
             return attempt_end::unknown;
         }
     }
--- a/libs/gateway/tests/test_silent_upstreams.cpp
+++ b/libs/gateway/tests/test_silent_upstreams.cpp
@@ -14,6 +14,8 @@
 
 const std::string not_run_answer =
     "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nno";
+const std::string error_answer =
+    "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nno";
 const std::string ok_answer =
     "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok";
 
@@ -191,6 +193,18 @@
     CHECK(full.requests() == 1);
 }
 
+// Guards against the failure of a slow upstream passed on while its replacement works on the call.
+TEST_CASE("an idempotent call that fails at a silent upstream is answered by its replacement") {
+    const scripted_upstream failing({{milliseconds(1000), error_answer}});
+    const scripted_upstream next({{milliseconds(900), ok_answer}});
+    fixture f(deployment::repeatability::idempotent, "");
+    f.add(make_upstream("u1", failing.address(), ""));
+    const std::string answer =
+        f.answer([&] { add_later(f, make_upstream("u2", next.address(), "")); });
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    CHECK(next.requests() == 1);
+}
+
 // Guards against calls that stay at a silent upstream although another one answers.
 TEST_CASE("an idempotent call whose upstream is silent is answered by another one") {
     const scripted_upstream silent({{milliseconds(5000), ok_answer}});
