Accept answers without length in the HTTP client

Engines and services behind an agent or a sidecar that answer without a length and without chunks were never served: callers got an error after a complete answer.

Cause: the client took each such answer for truncated, whether its connection was closed or reset.

Evidence, before the change:

test_http_client.cpp:153: FATAL ERROR: REQUIRE( succeeded(answers[0]) ) is NOT correct!

Change: a close ends such an answer, a reset truncates it, and its connection is not kept. An agent takes a stream without length that ends before its first event as broken off. Ten cuts within the head and the body, each with a close and a reset, are errors as before.

--- a/libs/agent/src/answer_sink.cpp
+++ b/libs/agent/src/answer_sink.cpp
@@ -23,6 +23,8 @@
     probe.headers = headers;
     const std::string content_type(probe.header("Content-Type"));
     events_ = content_type.starts_with("text/event-stream");
+    ends_with_connection_ =
+        probe.header("Content-Length").empty() && probe.header("Transfer-Encoding").empty();
     if (!is_refusal()) {
         a_->begin_answer(status, content_type, events_);
     }
@@ -55,6 +57,10 @@
     if (!crlf_end && pending_.find_first_not_of("\r\n") != std::string::npos) {
         return false;
     }
+    const bool no_event = events_ && pending_.empty() && a_->events() == 0;
+    if (no_event && ends_with_connection_ && !is_refusal()) {
+        return false;
+    }
     a_->append(pending_, false);
     return true;
 }
--- a/libs/agent/src/answer_sink.h
+++ b/libs/agent/src/answer_sink.h
@@ -19,8 +19,8 @@
     void head(unsigned status, const runtime::header_list& headers);
     // False if the answer exceeds the limit.
     [[nodiscard]] bool body(std::string_view bytes);
-    // Appends the rest of an answer whose body has ended. False if it ends inside an event: the
-    // upstream has broken it off.
+    // Appends the rest of an answer whose body has ended. False if the upstream has broken it off:
+    // a stream that ends inside an event, or, if it ends with its connection, before any event.
     [[nodiscard]] bool finish();
 
     [[nodiscard]] unsigned status() const {
@@ -37,6 +37,8 @@
     std::size_t limit_;
     unsigned status_ = 0;
     bool events_ = false;
+    // True if the answer has neither a length nor chunks.
+    bool ends_with_connection_ = false;
     std::string pending_;
     std::string refusal_;
 };
--- a/libs/agent/src/work.cpp
+++ b/libs/agent/src/work.cpp
@@ -146,7 +146,7 @@
     if (succeeded(called)) {
         r.completed = sink.finish();
         r.refused = a->request.kind() == rpc::work_completion && engine_refused(sink.status());
-        r.message = r.completed ? sink.refusal() : "the stream ended inside an event";
+        r.message = r.completed ? sink.refusal() : "the stream ended inside an event or before any";
         if (r.completed && !r.refused) {
             // Ended on the traffic loop, so that the caller does not wait for the control loop.
             a->end(rpc::run_completed, "");
--- a/libs/runtime/include/runtime/http.h
+++ b/libs/runtime/include/runtime/http.h
@@ -115,7 +115,8 @@
     http_client(loop& event_loop, settings::endpoint to);
     ~http_client();
 
-    // Sends one request and reads the complete answer; a truncated answer is an error.
+    // Sends one request and reads the complete answer; a truncated answer is an error. An answer
+    // without length ends when its connection is closed; a reset truncates it.
     boost::asio::awaitable<result<nothing, http_error>> call(http_request request,
                                                              http_reader reader,
                                                              http_call_options options);
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -124,12 +124,8 @@
                 false, "answer from " + to_text(s->to) + " truncated: " + failed.message()};
         }
     }
-    if (parser.need_eof()) {
-        co_return http_error{false, "answer from " + to_text(s->to) +
-                                        " has no length and is not chunked, so its end is unknown"};
-    }
-    if (parser.get().keep_alive() && buffer.size() == 0 && s->idle.size() < max_idle_connections &&
-        !options.fresh_connection) {
+    if (parser.get().keep_alive() && !parser.need_eof() && buffer.size() == 0 &&
+        s->idle.size() < max_idle_connections && !options.fresh_connection) {
         stream->expires_never();
         s->idle.push_back(std::move(stream));
     }
--- a/libs/runtime/tests/test_http_client.cpp
+++ b/libs/runtime/tests/test_http_client.cpp
@@ -143,3 +143,33 @@
         CHECK(value(answers[1]).body == "two");
     }
 }
+
+TEST_CASE("an answer without length is whole if closed, and an error if reset") {
+    for (const std::string& head :
+         {std::string("HTTP/1.1 200 OK\r\n\r\n"), std::string("HTTP/1.0 200 OK\r\n\r\n")}) {
+        const raw_server server(
+            {{head + "one", ending::close}, {head + "one", ending::reset}, {answer_with("two")}});
+        const auto answers = fetch_all(server, 3);
+        REQUIRE(succeeded(answers[0]));
+        CHECK(value(answers[0]).body == "one");
+        CHECK(!succeeded(answers[1]));
+        REQUIRE(succeeded(answers[2]));
+        CHECK(value(answers[2]).body == "two");
+    }
+}
+
+// Guards against a short answer that is taken for a whole one.
+TEST_CASE("an answer that is cut off is an error") {
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& cut :
+         {std::string(), std::string("HTTP/1.1 2"), head, head + "Content-Len", head + "\r",
+          head + "Content-Length: 4\r\n\r\n", head + "Content-Length: 4\r\n\r\ndon", head + chunked,
+          head + chunked + "4\r\ndo", head + chunked + "4\r\ndone\r\n"}) {
+        INFO(cut);
+        const raw_server server({{cut, ending::close}, {cut, ending::reset}});
+        for (const auto& answer : fetch_all(server, 2)) {
+            CHECK(!succeeded(answer));
+        }
+    }
+}
