--- a/libs/gateway/tests/test_deadly_parts.cpp
+++ b/libs/gateway/tests/test_deadly_parts.cpp
@@ -62,8 +62,9 @@
     };
     p.is_reserved = [](std::string_view) { return false; };
     p.write_attempt_headers = [](header_list&, const attempt_header_values&) {};
-    p.read_answer = [](unsigned, const header_list&) {
+    p.read_answer = [](unsigned, const header_list& headers) {
         answer_facts f;
+        f.echoed_id = find_header(headers, "Id");
         f.signed_by_upstream = true;
         return f;
     };
@@ -123,6 +124,11 @@
         }
     }
 
+    static std::string header_in(const std::string& head, const std::string& name) {
+        const std::size_t at = head.find(name) + name.size();
+        return head.substr(at, head.find("\r\n", at) - at);
+    }
+
     asio::awaitable<void> serve(std::shared_ptr<tcp::socket> s) {
         std::string text;
         while (s->is_open()) {
@@ -133,8 +139,7 @@
             }
             const std::string head = text.substr(0, size);
             text.erase(0, size);
-            const std::size_t at = head.find("Parts: ") + 7;
-            const auto parts = parse_parts(head.substr(at, head.find("\r\n", at) - at));
+            const auto parts = parse_parts(header_in(head, "Parts: "));
             const bool deadly = std::count(parts.begin(), parts.end(), deadly_part) > 0;
             deadly_requests += deadly ? 1 : 0;
             asio::steady_timer timer(context_, reading_time_);
@@ -144,7 +149,8 @@
                 co_return;
             }
             const std::string answer =
-                "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+                "HTTP/1.1 200 OK\r\nId: " + header_in(head, "Id: ") +
+                "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
                 "chunked\r\n\r\n13\r\nid: 1\ndata: first\n\n\r\n12\r\nid: 2\ndata: "
                 "last\n\n\r\n0\r\n\r\n";
             (void)co_await asio::async_write(*s, asio::buffer(answer), as_result);
