Gateway: leave a silent upstream only for a successor that answers

Callers could still see a begun stream cut: 250 ms after the request was sent to a successor the silent upstream was left, also if the successor had answered nothing. If it then refused (503, not run) and the route allows two attempts, the stream was closed, although the paused upstream would have gone on.

Cause: the limit on the time with two upstreams counted from the send. A run begins with its first token, so a successor that has not answered is not known to run.

--- a/libs/dispatch/include/dispatch/takeover.h
+++ b/libs/dispatch/include/dispatch/takeover.h
@@ -1,6 +1,7 @@
 // Replaces an upstream that has fallen silent in the middle of a request. The request is sent to a
 // successor while the silent upstream may still go on; the silent one is left only once the
-// successor answers or, for work that must not run twice for long, has accepted the request.
+// successor answers. A run begins with its first token, so the two run together for no longer than
+// the successor's first bytes take to arrive.
 #pragma once
 
 #include <optional>
@@ -10,9 +11,6 @@
 
 namespace burdockdeck::dispatch {
 
-// Maximum time that two upstreams work on the same stream.
-inline constexpr duration max_overlap = std::chrono::milliseconds(250);
-
 enum class takeover_step {
     keep_waiting,
     // Choose a successor, connect to it and send it the request.
@@ -42,8 +40,6 @@
     bool reports_load = false;
     // It has sent no event yet, so the request may be waiting in its queue.
     bool queued = false;
-    // At most `max_overlap` may pass with two upstreams working on the request.
-    bool limited_overlap = false;
 };
 
 // The upstream that the request was sent to in addition.
@@ -63,7 +59,6 @@
 [[nodiscard]] takeover_step next_step(const silent_attempt& a, duration successor_time,
                                       time_point now);
 // The step after it has been sent to one.
-[[nodiscard]] takeover_step next_step(const silent_attempt& a, const takeover_candidate& successor,
-                                      time_point now);
+[[nodiscard]] takeover_step next_step(const silent_attempt& a, const takeover_candidate& successor);
 
 }  // namespace burdockdeck::dispatch
--- a/libs/dispatch/src/takeover.cpp
+++ b/libs/dispatch/src/takeover.cpp
@@ -34,14 +34,11 @@
                                                       : takeover_step::keep_waiting;
 }
 
-takeover_step next_step(const silent_attempt& a, const takeover_candidate& successor,
-                        time_point now) {
+takeover_step next_step(const silent_attempt& a, const takeover_candidate& successor) {
     if (a.last_progress_at > successor.sent_at) {
         return takeover_step::withdraw;
     }
-    const bool overlap_ends = a.limited_overlap && now - successor.sent_at >= max_overlap;
-    return successor.answers || overlap_ends ? takeover_step::switch_over
-                                             : takeover_step::keep_waiting;
+    return successor.answers ? takeover_step::switch_over : takeover_step::keep_waiting;
 }
 
 }  // namespace burdockdeck::dispatch
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -1,5 +1,4 @@
-// Make before break: the silent upstream is left once its successor answers, or has had the request
-// for as long as two upstreams may work on it.
+// Make before break: the silent upstream is left once its successor answers.
 #include "takeover.h"
 
 #include <algorithm>
@@ -33,7 +32,6 @@
 dispatch::silent_attempt describe(const core& c, const request_state& r, time_point now) {
     dispatch::silent_attempt a;
     a.last_progress_at = r.last_progress_at;
-    a.limited_overlap = r.route.kind != deployment::repeatability::idempotent;
     if (r.facts.needs.model.empty()) {
         a.min_silence = std::max(min_call_silence, 3 * r.route.latency_objective);
         return a;
@@ -105,13 +103,13 @@
     r.current->abort();
 }
 
-// Carries out what the decision says once the request has been sent to the successor.
-void advance(core& c, request_state& r, successor& s, bool answers) {
+// Carries out what the decision says once the successor answers.
+void advance(core& c, request_state& r, successor& s) {
     if (s.in_charge || r.current == nullptr) {
         return;
     }
     const time_point now = runtime::boot_now();
-    const takeover_step step = dispatch::next_step(describe(c, r, now), {s.sent_at, answers}, now);
+    const takeover_step step = dispatch::next_step(describe(c, r, now), {s.sent_at, true});
     if (step == takeover_step::withdraw || r.current->has_unread_bytes()) {
         withdraw_successor(r);
     } else if (step == takeover_step::switch_over) {
@@ -119,14 +117,6 @@
     }
 }
 
-asio::awaitable<void> limit_overlap(core& c, std::shared_ptr<request_state> r,
-                                    std::shared_ptr<successor> s) {
-    co_await runtime::sleep_for(dispatch::max_overlap);
-    if (r->successor == s && !s->status) {
-        advance(c, *r, *s, false);
-    }
-}
-
 // Connects to the successor, sends it the request and waits for the head of its answer. `s` is
 // withdrawn or taken if it is no longer the successor of `r`.
 asio::awaitable<void> run_successor(core& c, std::shared_ptr<request_state> r,
@@ -152,9 +142,6 @@
     s->sent_on = std::make_shared<exchange>(connection, c.protocol);
     connection.reset();
     record_send_to(c, *r, s->id);
-    if (r->route.kind != deployment::repeatability::idempotent) {
-        runtime::spawn(c.traffic, [&c, r, s] { return limit_overlap(c, r, s); });
-    }
     const outgoing_request out = make_outgoing(c, *r, s->id);
     const duration timeout = time_left(*r, s->sent_at);
     const send_status status = co_await s->sent_on->send(out, timeout);
@@ -164,7 +151,7 @@
         co_return;
     }
     if (is_usable(status, *s->sent_on)) {
-        advance(c, *r, *s, true);
+        advance(c, *r, *s);
         co_return;
     }
     const bool answered = status == send_status::answered;
--- a/libs/gateway/tests/test_late_refusals.cpp
+++ b/libs/gateway/tests/test_late_refusals.cpp
@@ -7,8 +7,7 @@
 using namespace burdockdeck;
 using namespace burdockdeck::gateway;
 
-// Guards against an answer given up for an upstream that refuses the request only after
-// `max_overlap`.
+// Guards against an answer given up for an upstream that has the request and refuses it later.
 TEST_CASE("a stream is not given up for an upstream that refuses it late") {
     const scripted_upstream refusing(
         {{milliseconds(350), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno"}});
