Gateway: a draining gateway waits for requests that are being read or answered

A caller could lose a request at a stop: the process exited while the rest of the request arrived, or while the caller had yet to read the end of its answer.

Cause: a request counted as active only from its last byte until its answer was written. With no other request open, the drain ended in between, and the exit of a process resets connections that hold unread bytes.

A connection counts from the first byte of a request until it is idle or closed.

--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -70,6 +70,8 @@
     std::list<boost::asio::steady_timer*> waiting_timers;
     std::list<std::weak_ptr<session>> sessions;
     std::list<std::weak_ptr<request_state>> open_requests;
+    // Connections of callers on which a request is being read, served or answered, until the last
+    // byte of the answer can no longer be lost by closing the connection.
     std::uint32_t active_requests = 0;
     // Starts a check with control whether the deployment in force is the newest;
     // `confirmation_pending` is true until the answer arrives.
--- a/libs/gateway/src/session.cpp
+++ b/libs/gateway/src/session.cpp
@@ -152,7 +152,7 @@
     if (!co_await wait_for_bytes()) {
         co_return read_outcome::ended;
     }
-    request_in_progress_ = true;
+    set_in_progress(true);
     r.arrived = runtime::boot_now();
     const deployment::caller_limits limits = core_.view.current.limits;
     request_parser parser;
@@ -211,16 +211,14 @@
 asio::awaitable<void> session::run() {
     const std::shared_ptr<session> self = shared_from_this();
     while (keep_alive_ && !closed_) {
-        request_in_progress_ = false;
+        set_in_progress(false);
         caller_request r;
         if (co_await read_request(r) == read_outcome::ended) {
             break;
         }
         answered_ = false;
         watch_caller();
-        ++core_.active_requests;
         co_await serve(core_, *this, std::move(r));
-        --core_.active_requests;
         on_caller_left_ = nullptr;
         ++watch_serial_;
         boost::system::error_code ignored;
@@ -245,6 +243,14 @@
         }
     }
     stream_.socket().close(ignored);
+    set_in_progress(false);
+}
+
+void session::set_in_progress(bool in_progress) {
+    if (in_progress != request_in_progress_) {
+        request_in_progress_ = in_progress;
+        core_.active_requests += in_progress ? 1 : -1;
+    }
 }
 
 void session::record_failure(const boost::system::error_code& failed) {
--- a/libs/gateway/src/session.h
+++ b/libs/gateway/src/session.h
@@ -63,6 +63,8 @@
     boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason);
     boost::asio::awaitable<bool> wait_for_bytes();
     void watch_caller();
+    // Counts the session among those in `active_requests` while it has a request.
+    void set_in_progress(bool in_progress);
     void record_failure(const boost::system::error_code& failed);
     [[nodiscard]] std::string head_text(unsigned status, const header_list& headers,
                                         std::optional<std::size_t> length) const;
--- /dev/null
+++ b/libs/gateway/tests/test_draining.cpp
@@ -0,0 +1,67 @@
+// What a draining gateway counts as open, and which connections it closes.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+#include <boost/asio/read.hpp>
+
+#include "fixture.h"
+
+using namespace burdockdeck;
+using namespace burdockdeck::gateway;
+
+namespace {
+
+const std::string ok_answer =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nok";
+
+std::uint32_t active_requests(fixture& f) {
+    return run_on_traffic_loop(*f.c, [&] { return f.c->active_requests; });
+}
+
+// Waits up to a second until `count` requests are active.
+bool becomes_active(fixture& f, std::uint32_t count) {
+    for (int i = 0; i < 100 && active_requests(f) != count; ++i) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    return active_requests(f) == count;
+}
+
+std::string read_all(tcp::socket& caller) {
+    std::string all;
+    boost::system::error_code ended;
+    asio::read(caller, asio::dynamic_buffer(all), ended);
+    return all;
+}
+
+}  // namespace
+
+// Guards against a process that exits while the rest of a request arrives.
+TEST_CASE("a request counts as active from its first byte on") {
+    const scripted_upstream u({{milliseconds(0), ok_answer}});
+    fixture f(deployment::repeatability::idempotent, "");
+    f.add(make_upstream("u1", u.address(), ""));
+    asio::io_context outside;
+    tcp::socket caller = f.connect_caller(outside);
+    CHECK(becomes_active(f, 0));
+    asio::write(caller, asio::buffer(std::string("POST /a HTTP/1.1\r\nHost: maps.example\r\n"
+                                                 "Content-Length: 4\r\n\r\nab")));
+    CHECK(becomes_active(f, 1));
+    asio::write(caller, asio::buffer(std::string("cd")));
+    std::string head;
+    asio::read_until(caller, asio::dynamic_buffer(head), "ok");
+    // The connection stays open and has no request.
+    CHECK(becomes_active(f, 0));
+}
+
+// Guards against a process that exits before the caller has the end of its answer.
+TEST_CASE("a request counts as active until its connection is closed") {
+    const scripted_upstream u({{milliseconds(0), ok_answer}});
+    fixture f(deployment::repeatability::idempotent, "");
+    f.add(make_upstream("u1", u.address(), ""));
+    asio::io_context outside;
+    tcp::socket caller = f.send_request(outside);
+    CHECK(read_all(caller).ends_with("ok"));
+    // The caller has not closed its end, so unread bytes may still come.
+    CHECK(active_requests(f) == 1);
+    caller.close();
+    CHECK(becomes_active(f, 0));
+}
