Gateway: serve a request that has arrived when idle connections are closed

A caller's connection was reset although its request had arrived at a draining gateway.

Cause: a connection on which nothing has been read yet counted as idle, also with unread bytes in the socket.

Evidence: gateway.draining on a build with the former check: a request that has arrived is served although the gateway closes idle connections ERROR: CHECK( read_all(caller).ends_with("ok") ) is NOT correct! It passes with the change.

--- a/libs/gateway/src/session.cpp
+++ b/libs/gateway/src/session.cpp
@@ -91,7 +91,11 @@
 }
 
 void session::close_if_idle() {
-    if (!request_in_progress_) {
+    char byte = 0;
+    const bool has_unread_bytes =
+        ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    // A request that has arrived is served, although nothing of it has been read yet.
+    if (!request_in_progress_ && !has_unread_bytes) {
         close_now();
     }
 }
--- a/libs/gateway/tests/test_draining.cpp
+++ b/libs/gateway/tests/test_draining.cpp
@@ -65,3 +65,27 @@
     caller.close();
     CHECK(becomes_active(f, 0));
 }
+
+// Guards against a connection closed as idle although a request has arrived on it.
+TEST_CASE("a request that has arrived is served although the gateway closes idle connections") {
+    const scripted_upstream u({{milliseconds(0), ok_answer}});
+    fixture f(deployment::repeatability::idempotent, "");
+    f.add(make_upstream("u1", u.address(), ""));
+    asio::io_context outside;
+    tcp::acceptor front(outside, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    tcp::socket caller(outside);
+    caller.connect(front.local_endpoint());
+    tcp::socket accepted(f.c->traffic.context());
+    front.accept(accepted);
+    auto s = std::make_shared<session>(*f.c, std::move(accepted));
+    runtime::spawn(f.c->traffic, [s] { return s->run(); });
+    CHECK(becomes_active(f, 0));
+    run_on_traffic_loop(*f.c, [&] {
+        asio::write(caller, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: maps.example\r\n"
+                                                     "Connection: close\r\n\r\n")));
+        std::this_thread::sleep_for(milliseconds(20));
+        s->close_if_idle();
+    });
+    s.reset();
+    CHECK(read_all(caller).ends_with("ok"));
+}
