Gateway: the kernel's limit on silence follows the caller's patience

A begun stream could end 2.0 s after the last byte if the upstream's kernel acknowledged no probe meanwhile, although the caller still waits.

Cause: connections to upstreams end after 1.5 s without acknowledgement, checked once a second, whatever the route's callers bear. For requests that have not begun that is right, since they can be sent again.

While an answer is read, the limit is the caller's patience and a margin. A silent upstream is still replaced sooner, by the takeover. Reused connections get the former limit again.

Evidence: by reading; a peer without acknowledgements was not brought about. The case in gateway.draining checks the socket option in each state.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -20,6 +20,8 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 // Idle time-out of an upstream's connections if its answers do not state one.
 constexpr duration default_keep_alive = std::chrono::seconds(4);
+// The connection of a begun answer lasts this much longer than its caller's patience.
+constexpr duration liveness_margin = std::chrono::milliseconds(500);
 // Answers that are not streams are read completely before they are forwarded; longer ones fail.
 constexpr std::size_t max_buffered_answer_bytes = 1024 * 1024;
 // A stream with a longer event is treated as broken, so that an event that never ends takes bounded
@@ -180,6 +182,8 @@
 asio::awaitable<attempt_end> forward_stream(core& c, session& caller, request_state& r,
                                             std::shared_ptr<exchange> e, in_flight_guard& guard,
                                             time_point sent_at, double expected_ms) {
+    // The caller may still wait for a begun answer when a request would be given up.
+    e->tolerate_silence(r.route.caller_silence_timeout + liveness_margin);
     event_splitter splitter;
     bool first = true;
     body_status status = body_status::more;
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -32,6 +32,11 @@
     (void)::setsockopt(fd, level, name, &v, sizeof v);
 }
 
+void set_user_timeout(upstream_connection& c, duration timeout) {
+    set_option(c.stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               static_cast<unsigned>(to_milliseconds(timeout)));
+}
+
 // True if the peer has neither closed the connection nor sent unexpected bytes.
 bool still_open(upstream_connection& c) {
     char byte = 0;
@@ -67,6 +72,7 @@
 void keep(connection_pool& pool, connection_ptr c, time_point now) {
     c->idle_since = now;
     c->stream.expires_never();
+    set_user_timeout(*c, upstream_user_timeout);
     pool.idle.push_back(std::move(c));
     if (pool.idle.size() > max_idle) {
         pool.idle.erase(pool.idle.begin());
@@ -77,6 +83,12 @@
     std::erase_if(pool.idle, [&](const connection_ptr& c) { return expired(*c, now); });
 }
 
+void tolerate_silence(upstream_connection& c, duration silence) {
+    if (silence > upstream_user_timeout) {
+        set_user_timeout(c, silence);
+    }
+}
+
 void set_liveness(tcp::socket& socket, duration user_timeout) {
     const int fd = socket.native_handle();
     boost::system::error_code ignored;
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -62,6 +62,10 @@
 boost::asio::awaitable<result<connection_ptr, connect_error>> connect(
     boost::asio::io_context& context, settings::endpoint to, duration timeout);
 
+// Lets a connection last through `silence` of its peer's kernel, if that is longer than the limit
+// set so far; `keep` restores that limit.
+void tolerate_silence(upstream_connection& c, duration silence);
+
 // Sets the socket options that make a connection with an unresponsive peer fail; also turns on
 // TCP_NODELAY.
 void set_liveness(boost::asio::ip::tcp::socket& socket, duration user_timeout);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -216,6 +216,10 @@
     return ::recv(c_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+void exchange::tolerate_silence(duration silence) {
+    gateway::tolerate_silence(*c_, silence);
+}
+
 void exchange::abort() {
     aborted_ = true;
     boost::system::error_code ignored;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -65,6 +65,8 @@
 
     // True if bytes of the answer have arrived that were not read yet.
     [[nodiscard]] bool has_unread_bytes() const;
+    // Lets the connection last through `silence` of the upstream's kernel.
+    void tolerate_silence(duration silence);
     // Closes the connection; reads in progress fail.
     void abort();
     // Releases and returns the connection if it can be used for another request; null otherwise.
--- a/libs/gateway/tests/test_draining.cpp
+++ b/libs/gateway/tests/test_draining.cpp
@@ -1,6 +1,8 @@
 // What a draining gateway counts as open, and which connections it closes.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
+#include <netinet/tcp.h>
+
 #include <boost/asio/read.hpp>
 
 #include "fixture.h"
@@ -32,6 +34,15 @@
     return all;
 }
 
+unsigned user_timeout_ms(const upstream_connection& c) {
+    unsigned ms = 0;
+    socklen_t size = sizeof ms;
+    auto& stream = const_cast<upstream_connection&>(c).stream;
+    REQUIRE(::getsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
+                         &size) == 0);
+    return ms;
+}
+
 }  // namespace
 
 // Guards against a process that exits while the rest of a request arrives.
@@ -89,3 +100,19 @@
     s.reset();
     CHECK(read_all(caller).ends_with("ok"));
 }
+
+// Guards against a begun answer whose connection fails before the caller's patience ends.
+TEST_CASE("the kernel's limit on silence follows the caller's patience while an answer is read") {
+    asio::io_context context;
+    const tcp::acceptor peer(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    auto c = std::make_shared<upstream_connection>(context);
+    c->stream.socket().connect(peer.local_endpoint());
+    set_liveness(c->stream.socket(), milliseconds(1500));
+    tolerate_silence(*c, milliseconds(1000));
+    CHECK(user_timeout_ms(*c) == 1500);
+    tolerate_silence(*c, milliseconds(2900));
+    CHECK(user_timeout_ms(*c) == 2900);
+    connection_pool pool;
+    keep(pool, c, runtime::boot_now());
+    CHECK(user_timeout_ms(*c) == 1500);
+}
