--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -21,6 +21,8 @@
 constexpr duration connect_timeout = std::chrono::milliseconds(250);
 // Idle time-out of an upstream's connections if its answers do not state one.
 constexpr duration default_keep_alive = std::chrono::seconds(4);
+// The connection of a begun answer lasts this much longer than its caller's patience.
+constexpr duration liveness_margin = std::chrono::milliseconds(500);
 // Answers that are not streams are read completely before they are forwarded; longer ones fail.
 constexpr std::size_t max_buffered_answer_bytes = 1024 * 1024;
 // A stream with a longer event is treated as broken, so that an event that never ends takes bounded
@@ -193,6 +195,8 @@
 asio::awaitable<attempt_end> forward_stream(core& c, session& caller, request_state& r,
                                             std::shared_ptr<exchange> e, in_flight_guard& guard,
                                             time_point sent_at, double expected_ms) {
+    // The caller may still wait for a begun answer when a request would be given up.
+    e->tolerate_silence(r.route.caller_silence_timeout + liveness_margin);
     event_splitter splitter;
     const bool resumed = r.head_sent;
     if (resumed) {
