Gateway: count fewer ends of connections as crashes of engines

Callers whose request could have been repeated got 502, since any end of a connection before the first event was taken for a crash that the request may have caused. By reading, in a review: - upstreams reset connections beyond their limit, without an answer's head; that is no crash. Each is corrected.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -474,9 +474,12 @@
             co_return attempt_end::finished;
         }
         if (judge_request(c, r, runtime::boot_now()).quarantined) {
-            keep(c.pools[id], connection, runtime::boot_now());
+            return_unused(c.pools[id], connection);
             co_return attempt_end::not_run;
         }
+        if (const dispatch::upstream* u = guard.find()) {
+            r.sent_to_born_ms = u->born_ms;
+        }
         record_send_to(c, r, id);
         e = std::make_shared<exchange>(connection, c.protocol);
     }
@@ -557,7 +560,9 @@
     }
     if (end != attempt_end::finished && !caller.caller_left()) {
         log_failed_attempt(r, id, "broken");
-        record_broken_attempt(c, r, id, e->ended_by());
+        // An engine that crashes with unread requests resets its connections.
+        const bool reset = e->ended_by() == end_cause::upstream_reset;
+        record_broken_attempt(c, r, id, reset ? end_cause::upstream_closed : e->ended_by());
     }
     if (connection_ptr reusable = e->take_reusable(default_keep_alive)) {
         keep(c.pools[id], reusable, runtime::boot_now());
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -62,6 +62,10 @@
 boost::asio::awaitable<result<connection_ptr, connect_error>> connect(
     boost::asio::io_context& context, settings::endpoint to, duration timeout);
 
+// Puts back a connection taken from the pool that was not used. New connections are dropped, since
+// they have no known idle time-out.
+void return_unused(connection_pool& pool, connection_ptr c);
+
 // Lets a connection last through `silence` of its peer's kernel, if that is longer than the limit
 // set so far; `keep` restores that limit.
 void tolerate_silence(upstream_connection& c, duration silence);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -55,10 +55,13 @@
     if (e == beast::error::timeout) {
         return end_cause::timeout;
     }
-    const bool closed = e == http::error::end_of_stream || e == http::error::partial_message ||
-                        e == asio::error::eof || e == asio::error::connection_reset ||
-                        e == asio::error::connection_aborted || e == asio::error::broken_pipe;
-    return closed ? end_cause::upstream_closed : end_cause::bad_answer;
+    if (e == http::error::end_of_stream || e == http::error::partial_message ||
+        e == asio::error::eof) {
+        return end_cause::upstream_closed;
+    }
+    const bool reset = e == asio::error::connection_reset || e == asio::error::connection_aborted ||
+                       e == asio::error::broken_pipe;
+    return reset ? end_cause::upstream_reset : end_cause::bad_answer;
 }
 
 }  // namespace
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -35,8 +35,10 @@
 // What ended an exchange before its answer was complete.
 enum class end_cause {
     none,
-    // The upstream closed or reset the connection.
+    // The upstream closed the connection.
     upstream_closed,
+    // The connection was reset.
+    upstream_reset,
     timeout,
     // `exchange::abort` was called.
     aborted,
@@ -44,14 +46,6 @@
     bad_answer,
 };
 
-inline constexpr name_table<end_cause, 5> end_cause_names{{
-    {end_cause::none, "none"},
-    {end_cause::upstream_closed, "upstream_closed"},
-    {end_cause::timeout, "timeout"},
-    {end_cause::aborted, "aborted"},
-    {end_cause::bad_answer, "bad_answer"},
-}};
-
 // The request of one attempt. `body` is not owned.
 struct outgoing_request {
     std::string method;
--- a/libs/gateway/src/quarantine.cpp
+++ b/libs/gateway/src/quarantine.cpp
@@ -94,6 +94,12 @@
     if (ended_by != end_cause::upstream_closed || parts.empty()) {
         return;
     }
+    const auto upstream = c.view.upstreams.find(engine.upstream);
+    if (upstream != c.view.upstreams.end() && upstream->second.born_ms == engine.born_ms &&
+        (!upstream->second.accepting || upstream->second.leaves_at != time_point::max())) {
+        // It announced that it ends.
+        return;
+    }
     const time_point now = runtime::boot_now();
     quarantine::record_crash(c.quarantine.known, engine, parts, now);
     r.may_have_crashed_engine = quarantine::may_be_cause(c.quarantine.known, engine, parts, now);
--- a/libs/gateway/src/quarantine.h
+++ b/libs/gateway/src/quarantine.h
@@ -22,7 +22,8 @@
 void record_broken_attempt(core& c, request_state& r, const std::string& upstream,
                            end_cause ended_by);
 // A send of `r` to `engine` ended before the answer began. Records a crash if the upstream closed
-// the connection, and sets `r.may_have_crashed_engine`.
+// the connection without having announced its end, and sets `r.may_have_crashed_engine`. A reset
+// without the head of an answer is no crash: upstreams reset connections beyond their limit.
 void record_unanswered(core& c, request_state& r, const quarantine::incarnation& engine,
                        end_cause ended_by);
 // The first part of the answer to `r` arrived from `upstream`.
--- a/libs/gateway/src/site_client.cpp
+++ b/libs/gateway/src/site_client.cpp
@@ -29,6 +29,8 @@
 constexpr duration watch_timeout = std::chrono::milliseconds(1300);
 constexpr duration initial_backoff = std::chrono::milliseconds(100);
 constexpr duration max_backoff = std::chrono::milliseconds(1500);
+// Time until crashes are reported again to an instance that did not take them.
+constexpr duration report_retry_delay = std::chrono::milliseconds(500);
 constexpr duration report_timeout = std::chrono::milliseconds(800);
 // Long enough for one instance to time out and the next one to answer.
 constexpr duration confirmation_timeout = initial_fetch_timeout + std::chrono::milliseconds(300);
@@ -82,6 +84,7 @@
     // The revision of `shared_crashes` that it has, and whether a report to it is under way.
     std::uint64_t reported_crashes = 0;
     bool reporting_crashes = false;
+    time_point report_crashes_at{};
 };
 
 }  // namespace
@@ -298,16 +301,16 @@
         }
         fetch_if_needed(now);
         quarantine::expire(shared_crashes, now);
-        report_crashes();
+        report_crashes(now);
         std::erase_if(instances, [&](const auto& item) {
             return !item.second.connected &&
                    now - item.second.last_listed_at > unlisted_instance_ttl;
         });
     }
 
-    void report_crashes() {
+    void report_crashes(time_point now) {
         for (auto& [address, c] : instances) {
-            if (c.connected && c.stub && !c.reporting_crashes &&
+            if (c.connected && c.stub && !c.reporting_crashes && now >= c.report_crashes_at &&
                 c.reported_crashes < shared_crashes.revision) {
                 c.reporting_crashes = true;
                 runtime::spawn(control_loop, [self = shared_from_this(), address = address] {
@@ -340,7 +343,10 @@
         }
         control_instance& c = found->second;
         c.reporting_crashes = false;
-        if (taken && c.serial == serial) {
+        if (!taken) {
+            // An older version of control does not know the call.
+            c.report_crashes_at = runtime::boot_now() + report_retry_delay;
+        } else if (c.serial == serial) {
             c.reported_crashes = std::max(c.reported_crashes, revision);
         }
     }
@@ -409,7 +415,7 @@
 
 void site_client::share(const schema::crash_news& news) {
     if (quarantine::merge(state_->shared_crashes, news, runtime::boot_now())) {
-        state_->report_crashes();
+        state_->report_crashes(runtime::boot_now());
     }
 }
 
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -130,8 +130,8 @@
     const bool is_wanted = r->successor == s;
     if (!is_wanted || connection == nullptr ||
         !may_prepare(c, *r, s->chosen, runtime::boot_now())) {
-        if (connection != nullptr && connection->requests > 0) {
-            c.pools[s->id].idle.push_back(connection);
+        if (connection != nullptr) {
+            return_unused(c.pools[s->id], connection);
         }
         if (is_wanted) {
             r->successor.reset();
@@ -139,6 +139,8 @@
         co_return;
     }
     s->sent_at = runtime::boot_now();
+    const auto upstream = c.view.upstreams.find(s->id);
+    s->born_ms = upstream == c.view.upstreams.end() ? s->born_ms : upstream->second.born_ms;
     s->sent_on = std::make_shared<exchange>(connection, c.protocol);
     connection.reset();
     record_send_to(c, *r, s->id);
