Send nothing to an upstream once one of its answers says that it leaves

Callers saw requests sent to upstreams that had said in every answer that they leave, until an announcement reached the gateway, if one did.

Cause: the header was not read. With two upstreams of which one says so in its first answer, of 20 further requests, before:

test_upstream_notices.cpp:93: ERROR: CHECK( count_at(upstreams, leaving_upstream) == 1 ) is NOT correct! values: CHECK( 11 == 1 ) (the same for the head of a stream) test_upstream_notices.cpp:106 (late answer to an earlier request): values: CHECK( 8 == 1 ) test_upstream_notices.cpp:114 (only a leaving upstream is left): CHECK( g.call("r").starts_with("HTTP/1.1 503") ): values: CHECK( false )

The case of a request that waits for a connection crashed in its test double on that code, and the ones of restarts were not reached; that they fail before was not seen. The case of a takeover was written afterwards.

Every answer's head is looked at, also a refusal's and a skipped one's, and the report of an engine to its sidecar. `dispatch::upstream::leaving` lasts as long as the incarnation. The choice never falls back to such an upstream; attempts and takeovers check again after they have a connection. Gateways list leaving upstreams in their demand reports until control withdraws them; control then treats them as draining. Within an incarnation, registry and gateways let the announced state only advance, since such a withdrawal may repeat an announcement that is older than the latest.

--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -177,6 +177,7 @@
         return on_loop(instance_, context, [this, request](auto* reactor) {
             if (instance_.site) {
                 instance_.site->demand[request->gateway()] = {*request, runtime::boot_now()};
+                withdraw_leaving(instance_, *request);
             }
             reactor->Finish(grpc::Status::OK);
         });
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -230,6 +230,19 @@
     }
 }
 
+void withdraw_leaving(instance& i, const rpc::demand_report& report) {
+    for (const rpc::leaving_upstream& l : report.leaving()) {
+        if (const auto a = registry::withdrawal_of(i.site->upstreams, l.id(), l.born_ms())) {
+            log_event(severity::info, event::upstream_notice,
+                      {{"upstream", l.id()},
+                       {"notice", "leaving"},
+                       {"born_ms", l.born_ms()},
+                       {"source", report.gateway()}});
+            merge_announcement(i, *a, false);
+        }
+    }
+}
+
 rpc::announcement_relay all_announcements(const instance& i) {
     rpc::announcement_relay all;
     for (const auto& [id, e] : i.site->upstreams.upstreams) {
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -93,6 +93,8 @@
 // Merges an announcement into the registry. Unless `relayed`, passes it on to the other instances:
 // at once if it changes the registry, batched otherwise.
 void merge_announcement(instance& i, const schema::upstream_announcement& a, bool relayed);
+// Treats the upstreams that a gateway reports as leaving as draining.
+void withdraw_leaving(instance& i, const rpc::demand_report& report);
 // All announcements in the registry, including those of upstreams that have left.
 [[nodiscard]] rpc::announcement_relay all_announcements(const instance& i);
 
--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -47,6 +47,7 @@
 enum class obstacle {
     none,
     not_accepting,
+    leaving,
     leaves_too_soon,
     model_absent,
     adapter_blocked,
@@ -54,9 +55,10 @@
     tried
 };
 
-inline constexpr name_table<obstacle, 7> obstacle_names{{
+inline constexpr name_table<obstacle, 8> obstacle_names{{
     {obstacle::none, "none"},
     {obstacle::not_accepting, "not_accepting"},
+    {obstacle::leaving, "leaving"},
     {obstacle::leaves_too_soon, "leaves_too_soon"},
     {obstacle::model_absent, "model_absent"},
     {obstacle::adapter_blocked, "adapter_blocked"},
@@ -90,6 +92,8 @@
 // True if the prompt of `w` is long enough to delay other requests.
 [[nodiscard]] bool is_long(const work& w, const role_settings& s);
 
+// What the upstream's own answers say against any further request; none if they say nothing.
+[[nodiscard]] obstacle notice_of(const upstream& u);
 [[nodiscard]] obstacle obstacle_to(const upstream& u, const request_view& r, time_point now);
 // Expected time to the first byte at `u`, in milliseconds.
 [[nodiscard]] double expected_ms(const upstream& u, const request_view& r, const choice_settings& s,
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -49,6 +49,13 @@
 
 enum class engine_role { any, short_prompts, long_prompts };
 
+// Identifies one start of an upstream.
+struct incarnation {
+    std::string id;
+    std::string address;
+    std::uint64_t born_ms = 0;
+};
+
 // Smoothed recent outcomes. `errors` is a share in [0, 1]; `slowness` is the observed time divided
 // by the expected one.
 struct health_record {
@@ -80,6 +87,9 @@
     std::uint32_t slots = 1;
     // False once the upstream drains or has left; it then gets no new work.
     bool accepting = true;
+    // True once one of its answers or its engine's reports said that it leaves; it then gets no new
+    // requests. Ends with the incarnation.
+    bool leaving = false;
     // Announced time of shutdown; time_point::max() if none was announced.
     time_point leaves_at = time_point::max();
     time_point cold_until{};
@@ -103,6 +113,9 @@
 
 // --- Queries
 
+[[nodiscard]] incarnation incarnation_of(const upstream& u);
+[[nodiscard]] bool is_incarnation(const upstream& u, const incarnation& i);
+
 // Prompt tokens of `w` that `u` does not have cached, estimated from what this gateway sent there.
 [[nodiscard]] std::uint32_t tokens_to_read(const upstream& u, const work& w);
 // Key for routing requests that share state to the same engine: the adapter, or else the shared
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -96,10 +96,17 @@
     return w.prompt_tokens >= s.long_prompt_tokens;
 }
 
+obstacle notice_of(const upstream& u) {
+    return u.leaving ? obstacle::leaving : obstacle::none;
+}
+
 obstacle obstacle_to(const upstream& u, const request_view& r, time_point now) {
     if (!u.accepting || u.service != r.service) {
         return obstacle::not_accepting;
     }
+    if (const obstacle notice = notice_of(u); notice != obstacle::none) {
+        return notice;
+    }
     if (u.leaves_at != time_point::max() && u.leaves_at - now < departure_margin) {
         return obstacle::leaves_too_soon;
     }
--- a/libs/dispatch/src/upstream.cpp
+++ b/libs/dispatch/src/upstream.cpp
@@ -46,6 +46,14 @@
 
 }  // namespace
 
+incarnation incarnation_of(const upstream& u) {
+    return {u.id, u.address, u.born_ms};
+}
+
+bool is_incarnation(const upstream& u, const incarnation& i) {
+    return u.id == i.id && u.address == i.address && u.born_ms == i.born_ms;
+}
+
 std::uint32_t tokens_to_read(const upstream& u, const work& w) {
     std::uint32_t cached = 0;
     for_each_key(w, [&](std::uint64_t key, const prompt_part& p) {
--- a/libs/dispatch/tests/test_choice.cpp
+++ b/libs/dispatch/tests/test_choice.cpp
@@ -77,6 +77,24 @@
     CHECK_FALSE(choose(all, view(w, &tried), {}, now, f.rng));
 }
 
+// Guards against leaving upstreams taken as a fallback where all others are ejected.
+TEST_CASE("a leaving upstream is never chosen") {
+    fleet f(3);
+    f.all[0].leaving = true;
+    f.all[1].health.ejected_until = now + std::chrono::seconds(1);
+    f.all[2].accepting = false;
+    const work w = generation(5);
+    CHECK(obstacle_to(f.all[0], view(w), now) == obstacle::leaving);
+    const auto all = f.pointers();
+    for (int i = 0; i < 50; ++i) {
+        const auto chosen = choose(all, view(w), {}, now, f.rng);
+        REQUIRE(chosen);
+        CHECK(chosen->to->id == "u1");
+    }
+    f.all[1].accepting = false;
+    CHECK_FALSE(choose(all, view(w), {}, now, f.rng));
+}
+
 TEST_CASE("gateways send equal shared prompt parts to the same engine without coordination") {
     const work w = generation(42);
     std::string first;
--- a/libs/gateway/include/gateway/protocol.h
+++ b/libs/gateway/include/gateway/protocol.h
@@ -45,6 +45,11 @@
     bool encoded = false;
     // How long the upstream keeps an idle connection open; empty if not stated.
     std::optional<duration> keep_alive;
+    // The upstream is leaving; it is to get no further requests.
+    bool leaving = false;
+    // Name and value of a header that was ignored or clamped because of its value; empty if all
+    // were valid.
+    std::string invalid_header;
 };
 
 // Values that a gateway writes into the headers of one attempt.
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -6,6 +6,7 @@
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
 
@@ -431,8 +432,8 @@
 
 asio::awaitable<attempt_end> attempt(core& c, session& caller, request_state& r,
                                      dispatch::choice to, std::shared_ptr<successor> prepared) {
-    const std::string id = to.to->id;
-    const std::string address = to.to->address;
+    const dispatch::incarnation target = dispatch::incarnation_of(*to.to);
+    const std::string& id = target.id;
     r.backlog_ms = dispatch::backlog_ms(*to.to, runtime::boot_now());
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
@@ -442,7 +443,7 @@
         e = prepared->sent_on;
     } else {
         std::string failure;
-        connection_ptr connection = co_await acquire_connection(c, r, id, address, failure);
+        connection_ptr connection = co_await acquire_connection(c, r, id, target.address, failure);
         if (connection == nullptr) {
             r.last_failure = "connect: " + failure;
             count_outcome(guard, attempt_outcome::unreachable);
@@ -452,8 +453,15 @@
         if (caller.caller_left()) {
             co_return attempt_end::finished;
         }
+        if (const std::string notice = notice_against(c, id); !notice.empty()) {
+            // It arrived while the request waited for the connection.
+            give_back(c.pools[id], connection);
+            r.last_failure = notice;
+            log_failed_attempt(r, id, "not_sent");
+            co_return attempt_end::not_run;
+        }
         record_send_to(c, r, id);
-        e = std::make_shared<exchange>(connection, c.protocol);
+        e = std::make_shared<exchange>(connection, c.protocol, notice_observer(c, target));
     }
     r.expected_ms = to.expected_ms;
     r.read_tokens = to.read_tokens;
--- a/libs/gateway/src/beacon_listener.cpp
+++ b/libs/gateway/src/beacon_listener.cpp
@@ -10,6 +10,7 @@
 
 #include "runtime/clock.h"
 #include "runtime/http.h"
+#include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
 
@@ -60,6 +61,9 @@
             continue;
         }
         dispatch::record_load(u, b.waiting(), b.reading(), b.running(), now);
+        if (b.leaving()) {
+            mark_leaving(u, "report");
+        }
         if (b.busy()) {
             u.adapters_blocked_until = std::max(u.adapters_blocked_until, now + busy_adapter_block);
         }
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -73,6 +73,12 @@
     }
 }
 
+void give_back(connection_pool& pool, connection_ptr c) {
+    if (c->requests > 0) {
+        pool.idle.push_back(std::move(c));
+    }
+}
+
 void close_expired(connection_pool& pool, time_point now) {
     std::erase_if(pool.idle, [&](const connection_ptr& c) { return expired(*c, now); });
 }
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -56,6 +56,8 @@
 [[nodiscard]] connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now);
 // Adds a connection on which a complete answer has been read.
 void keep(connection_pool& pool, connection_ptr c, time_point now);
+// Puts back an idle connection that was taken and not used; closes one that is new.
+void give_back(connection_pool& pool, connection_ptr c);
 // Closes connections whose idle time is over.
 void close_expired(connection_pool& pool, time_point now);
 
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -157,6 +157,9 @@
             headers_.emplace_back(f.name_string(), f.value());
         }
         facts_ = protocol_.read_answer(status(), headers_);
+        if (on_answer_) {
+            on_answer_(facts_);
+        }
         const bool first_on_connection = c_->requests == 1;
         if (facts_.echoed_id == r.request_id) {
             // Without an id, an earlier refusal cannot be told from one of this request.
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,8 +44,10 @@
 
 class exchange {
 public:
-    exchange(connection_ptr c, const caller_protocol& protocol)
-        : c_(std::move(c)), protocol_(protocol) {}
+    // `on_answer` is called for the head of each final answer, also for skipped ones.
+    exchange(connection_ptr c, const caller_protocol& protocol,
+             std::function<void(const answer_facts&)> on_answer = {})
+        : c_(std::move(c)), protocol_(protocol), on_answer_(std::move(on_answer)) {}
 
     // Sends the request and reads the head of its answer. Late answers to earlier requests are
     // skipped: those with another request id, and those without one on a connection that was used
@@ -87,6 +90,7 @@
 
     connection_ptr c_;
     const caller_protocol& protocol_;
+    std::function<void(const answer_facts&)> on_answer_;
     std::unique_ptr<parser> parser_;
     header_list headers_;
     answer_facts facts_;
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -15,6 +15,7 @@
 #include "runtime/log.h"
 #include "session.h"
 #include "takeover.h"
+#include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
 
@@ -234,6 +235,7 @@
             counts = {};
             counts.in_flight = in_flight;
         }
+        add_leaving(report, gateway_core.view);
         return report;
     }
 
--- a/libs/gateway/src/site_view.cpp
+++ b/libs/gateway/src/site_view.cpp
@@ -1,6 +1,8 @@
 // Applies announcements of upstreams to the view.
 #include "site_view.h"
 
+#include <utility>
+
 namespace burdockdeck::gateway {
 
 namespace {
@@ -59,13 +61,22 @@
     const std::pair order{a.born_ms(), a.sequence()};
     const auto known = v.last_announcements.find(a.id());
     const bool withdrawn = a.state() != schema::announced_ready;
+    if (known != v.last_announcements.end() && withdrawn && order < known->second &&
+        a.born_ms() == known->second.first) {
+        // Control was told by a gateway that the upstream leaves, possibly before it received the
+        // upstream's latest announcement.
+        dispatch::upstream& u = v.upstreams.at(a.id());
+        return std::exchange(u.accepting, false);
+    }
     if (known != v.last_announcements.end() &&
         (order < known->second || (order == known->second && !withdrawn))) {
         return false;
     }
     v.last_announcements[a.id()] = order;
     dispatch::upstream& u = v.upstreams[a.id()];
-    if (u.born_ms != a.born_ms() || u.address != a.address()) {
+    const bool restarted = u.born_ms != a.born_ms() || u.address != a.address();
+    const bool was_withdrawn = !restarted && !u.accepting;
+    if (restarted) {
         const std::uint32_t in_flight = u.in_flight;
         u = {};
         u.in_flight = in_flight;
@@ -76,7 +87,7 @@
     u.service = a.service();
     u.failure_domain = a.failure_domain();
     u.slots = a.slots();
-    u.accepting = !withdrawn;
+    u.accepting = !withdrawn && !was_withdrawn;
     u.cold_until = a.cold_ms() > 0 ? now + std::chrono::milliseconds(a.cold_ms()) : time_point{};
     u.leaves_at =
         a.leaves_ms() > 0 ? now + std::chrono::milliseconds(a.leaves_ms()) : time_point::max();
--- a/libs/gateway/src/site_view.h
+++ b/libs/gateway/src/site_view.h
@@ -50,7 +50,8 @@
 // of announcements or deployment.
 void assign_roles(site_view& v, const dispatch::role_settings& s);
 // Applies an announcement that is newer than the last one applied, or equally new and states that
-// the upstream is not ready. True if it was applied.
+// the upstream is not ready; an older one only withdraws its incarnation. An incarnation that was
+// withdrawn stays so. True if the view changed.
 bool apply_announcement(site_view& v, const schema::upstream_announcement& a, time_point now);
 
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -12,6 +12,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
 
@@ -56,7 +57,7 @@
 bool may_prepare(core& c, const request_state& r, const dispatch::choice& next, time_point now) {
     const duration needed = expected_time(next);
     return r.current != nullptr && r.awaits_upstream && may_send_again(c, r) &&
-           time_left(r, now) > needed &&
+           notice_against(c, next.to->id).empty() && time_left(r, now) > needed &&
            dispatch::next_step(describe(c, r, now), needed, now) == takeover_step::prepare &&
            // A process that was suspended has yet to read what arrived meanwhile.
            !r.current->has_unread_bytes();
@@ -83,13 +84,13 @@
                     dispatch::attempt_outcome outcome, std::string_view status,
                     std::string_view reason) {
     const time_point now = runtime::boot_now();
-    const auto found = c.view.upstreams.find(s.id);
+    const auto found = c.view.upstreams.find(s.target.id);
     if (found != c.view.upstreams.end()) {
         dispatch::record_outcome(found->second, outcome, 0, now);
     }
     log_event(severity::info, event::attempt_failed,
               {{"request", r.facts.id},
-               {"upstream", s.id},
+               {"upstream", s.target.id},
                {"sends", static_cast<std::uint64_t>(r.tried.size())},
                {"status", status},
                {"reason", reason},
@@ -131,7 +132,8 @@
 asio::awaitable<void> run_successor(core& c, std::shared_ptr<request_state> r,
                                     std::shared_ptr<successor> s) {
     std::string failure;
-    connection_ptr connection = co_await acquire_connection(c, *r, s->id, s->address, failure);
+    connection_ptr connection =
+        co_await acquire_connection(c, *r, s->target.id, s->target.address, failure);
     if (connection == nullptr) {
         record_failure(c, *r, *s, dispatch::attempt_outcome::unreachable, "not_sent",
                        "connect: " + failure);
@@ -139,8 +141,8 @@
     const bool is_wanted = r->successor == s;
     if (!is_wanted || connection == nullptr ||
         !may_prepare(c, *r, s->chosen, runtime::boot_now())) {
-        if (connection != nullptr && connection->requests > 0) {
-            c.pools[s->id].idle.push_back(connection);
+        if (connection != nullptr) {
+            give_back(c.pools[s->target.id], connection);
         }
         if (is_wanted) {
             r->successor.reset();
@@ -148,13 +150,13 @@
         co_return;
     }
     s->sent_at = runtime::boot_now();
-    s->sent_on = std::make_shared<exchange>(connection, c.protocol);
+    s->sent_on = std::make_shared<exchange>(connection, c.protocol, notice_observer(c, s->target));
     connection.reset();
-    record_send_to(c, *r, s->id);
+    record_send_to(c, *r, s->target.id);
     if (r->route.kind != deployment::repeatability::idempotent) {
         runtime::spawn(c.traffic, [&c, r, s] { return limit_overlap(c, r, s); });
     }
-    const outgoing_request out = make_outgoing(c, *r, s->id);
+    const outgoing_request out = make_outgoing(c, *r, s->target.id);
     const duration timeout = time_left(*r, s->sent_at);
     const send_status status = co_await s->sent_on->send(out, timeout);
     s->status = status;
--- a/libs/gateway/src/takeover.h
+++ b/libs/gateway/src/takeover.h
@@ -22,13 +22,11 @@
 struct successor {
     successor(boost::asio::io_context& context, const dispatch::choice& to)
         : chosen(to),
-          id(to.to->id),
-          address(to.to->address),
+          target(dispatch::incarnation_of(*to.to)),
           finished(context, std::chrono::steady_clock::time_point::max()) {}
 
     dispatch::choice chosen;
-    std::string id;
-    std::string address;
+    dispatch::incarnation target;
     std::shared_ptr<exchange> sent_on;
     time_point sent_at{};
     std::optional<send_status> status;
--- a/libs/gateway/tests/faulty_upstream.h
+++ b/libs/gateway/tests/faulty_upstream.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <future>
 #include <list>
 #include <memory>
@@ -155,7 +156,7 @@
     std::thread thread_;
 };
 
-// Header names: Id (a request's, echoed), Signature, Not-Run, Encoding, Last-Event.
+// Header names: Id (a request's, echoed), Signature, Not-Run, Encoding, Last-Event, Leaving.
 inline caller_protocol short_protocol() {
     caller_protocol p;
     p.read_request = [](const header_list& headers) {
@@ -175,6 +176,7 @@
         f.signed_by_upstream = !find_header(headers, "Signature").empty();
         f.not_run = !find_header(headers, "Not-Run").empty();
         f.encoded = !find_header(headers, "Encoding").empty();
+        f.leaving = !find_header(headers, "Leaving").empty();
         return f;
     };
     p.write_retry_after = [](header_list&, duration) {};
@@ -241,6 +243,29 @@
         return all;
     }
 
+    // Runs `work` on the gateway's traffic loop.
+    template <class Work>
+    void run(Work work) {
+        std::promise<void> done;
+        core_->traffic.post([&] {
+            work(*core_);
+            done.set_value();
+        });
+        done.get_future().get();
+    }
+    // Runs `work` on the traffic loop while the next request waits for a connection.
+    void run_during_connect(std::function<void(core&)> work) {
+        run([&](core& c) {
+            const auto used = std::make_shared<bool>(false);
+            c.protocol.read_request = [&c, work, used](const header_list& headers) {
+                if (!std::exchange(*used, true)) {
+                    c.traffic.post([&c, work] { work(c); });
+                }
+                return short_protocol().read_request(headers);
+            };
+        });
+    }
+
 private:
     asio::io_context outside_;
     std::unique_ptr<core> core_;
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -10,6 +10,7 @@
 #include "event_splitter.h"
 #include "exchange.h"
 #include "site_view.h"
+#include "upstream_notices.h"
 
 using namespace burdockdeck;
 using namespace burdockdeck::gateway;
@@ -171,6 +172,46 @@
     CHECK_FALSE(apply_beacon(v, "10.0.0.2", b, now));
 }
 
+TEST_CASE("a gateway reports each leaving upstream until control has withdrawn it") {
+    site_view v;
+    (void)apply_announcement(v, make_announcement(5, 7), now);
+    schema::engine_beacon b;
+    b.set_born_ms(5);
+    b.set_leaving(true);
+    (void)apply_beacon(v, "10.0.0.1", b, now);
+    CHECK(v.upstreams.at("u").leaving);
+    // A later announcement of the same incarnation does not end it.
+    (void)apply_announcement(v, make_announcement(5, 8), now);
+    CHECK(v.upstreams.at("u").leaving);
+    rpc::demand_report report;
+    add_leaving(report, v);
+    REQUIRE(report.leaving_size() == 1);
+    CHECK(report.leaving(0).id() == "u");
+    CHECK(report.leaving(0).born_ms() == 5);
+    CHECK(apply_announcement(v, make_announcement(5, 7, schema::announced_draining), now));
+    CHECK_FALSE(v.upstreams.at("u").accepting);
+    report.Clear();
+    add_leaving(report, v);
+    CHECK(report.leaving_size() == 0);
+    // The restarted upstream is sound.
+    CHECK(apply_announcement(v, make_announcement(6, 1), now));
+    CHECK_FALSE(v.upstreams.at("u").leaving);
+    CHECK(v.upstreams.at("u").accepting);
+}
+
+// Guards against a withdrawal undone by an announcement that was sent before it.
+TEST_CASE("an upstream that was withdrawn stays so until it restarts") {
+    site_view v;
+    (void)apply_announcement(v, make_announcement(5, 7), now);
+    CHECK(apply_announcement(v, make_announcement(5, 6, schema::announced_draining), now));
+    CHECK_FALSE(v.upstreams.at("u").accepting);
+    (void)apply_announcement(v, make_announcement(5, 8), now);
+    CHECK_FALSE(v.upstreams.at("u").accepting);
+    CHECK_FALSE(apply_announcement(v, make_announcement(4, 9, schema::announced_draining), now));
+    CHECK(apply_announcement(v, make_announcement(6, 1), now));
+    CHECK(v.upstreams.at("u").accepting);
+}
+
 TEST_CASE("an engine's load becomes stale when its beacons stop") {
     site_view v;
     (void)apply_announcement(v, make_announcement(5, 1), now);
--- a/libs/registry/include/registry/registry.h
+++ b/libs/registry/include/registry/registry.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,7 +13,8 @@
 
 namespace burdockdeck::registry {
 
-// Invariant: `latest` is the newest announcement by (born_ms, sequence) among those merged.
+// Invariant: `latest` is the newest announcement by (born_ms, sequence) among those merged, with
+// the most advanced state of its incarnation.
 struct upstream_entry {
     schema::upstream_announcement latest;
     time_point last_seen{};
@@ -36,6 +38,12 @@
 [[nodiscard]] std::vector<schema::upstream_announcement> changed_since(const registry& r,
                                                                        std::uint64_t known);
 
+// The announcement to merge once an upstream has said in its answers that it leaves; empty if this
+// incarnation is not known or not ready.
+[[nodiscard]] std::optional<schema::upstream_announcement> withdrawal_of(const registry& r,
+                                                                         const std::string& id,
+                                                                         std::uint64_t born_ms);
+
 // --- Commands
 
 // Stores an announcement unless a newer one of the same upstream is known. A newer incarnation at
--- a/libs/registry/src/registry.cpp
+++ b/libs/registry/src/registry.cpp
@@ -63,15 +63,22 @@
     const auto found = r.upstreams.find(a.id());
     if (found != r.upstreams.end()) {
         const upstream_announcement& known = found->second.latest;
-        // A departure may repeat the sequence number of the latest announcement: the call that
-        // reports it carries only the upstream's id.
-        const bool departs = order_of(a) == order_of(known) &&
-                             a.state() == schema::announced_gone && known.state() != a.state();
-        if (order_of(a) <= order_of(known) && !departs) {
+        const bool newer = order_of(a) > order_of(known);
+        const bool same_incarnation = known.born_ms() == a.born_ms();
+        // A departure, or a gateway's report that the upstream leaves, repeats an announcement that
+        // may be older than the latest.
+        if (!newer && same_incarnation && a.state() > known.state()) {
+            found->second.latest.set_state(a.state());
+            found->second.last_seen = now;
+            mark_changed(r, found->second);
+            return merge_result::changed;
+        }
+        if (!newer) {
             return merge_result::outdated;
         }
         // The state never moves back within an incarnation: a draining upstream stays draining.
-        if (known.born_ms() == a.born_ms() && a.state() < known.state()) {
+        if (same_incarnation && a.state() < known.state()) {
+            found->second.last_seen = now;
             return merge_result::outdated;
         }
     }
@@ -90,6 +97,18 @@
     return merge_result::changed;
 }
 
+std::optional<upstream_announcement> withdrawal_of(const registry& r, const std::string& id,
+                                                   std::uint64_t born_ms) {
+    const auto found = r.upstreams.find(id);
+    if (found == r.upstreams.end() || found->second.latest.born_ms() != born_ms ||
+        found->second.latest.state() != schema::announced_ready) {
+        return std::nullopt;
+    }
+    upstream_announcement a = found->second.latest;
+    a.set_state(schema::announced_draining);
+    return a;
+}
+
 std::vector<std::string> expire(registry& r, time_point now, duration gone_retention,
                                 duration silence_timeout) {
     std::vector<std::string> dropped;
--- a/libs/registry/tests/test_registry.cpp
+++ b/libs/registry/tests/test_registry.cpp
@@ -51,6 +51,28 @@
     CHECK(state_of(r, "a") == schema::announced_draining);
 }
 
+// Guards against a report of a gateway that is lost because a later announcement came first.
+TEST_CASE("an upstream that a gateway reports as leaving is draining until it restarts") {
+    registry::registry r;
+    merge(r, announce("a", 5, 1), start);
+    const auto report = withdrawal_of(r, "a", 5);
+    REQUIRE(report);
+    merge(r, announce("a", 5, 2), start);
+    const std::uint64_t known = r.changes;
+    CHECK(merge(r, *report, start) == merge_result::changed);
+    CHECK(merge(r, *report, start) == merge_result::outdated);
+    CHECK(merge(r, announce("a", 5, 3), start) == merge_result::outdated);
+    REQUIRE(changed_since(r, known).size() == 1);
+    CHECK(changed_since(r, known)[0].state() == schema::announced_draining);
+    CHECK_FALSE(withdrawal_of(r, "a", 5));
+    merge(r, announce("a", 6, 1), start);
+    CHECK(state_of(r, "a") == schema::announced_ready);
+    // The report is about an earlier incarnation.
+    CHECK_FALSE(withdrawal_of(r, "a", 5));
+    CHECK(merge(r, *report, start) == merge_result::outdated);
+    CHECK_FALSE(withdrawal_of(r, "b", 5));
+}
+
 TEST_CASE("a restart under the same id starts a new sequence") {
     registry::registry r;
     merge(r, announce("a", 5, 90, schema::announced_draining), start);
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -81,9 +81,11 @@
     fetch_failed,
     patch_failed,
     answer_skipped,
+    answer_header_invalid,
+    upstream_notice,
 };
 
-inline constexpr name_table<event, 68> event_names{{
+inline constexpr name_table<event, 70> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -152,6 +154,8 @@
     {event::fetch_failed, "fetch_failed"},
     {event::patch_failed, "patch_failed"},
     {event::answer_skipped, "answer_skipped"},
+    {event::answer_header_invalid, "answer_header_invalid"},
+    {event::upstream_notice, "upstream_notice"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
--- a/libs/runtime/src/log.cpp
+++ b/libs/runtime/src/log.cpp
@@ -141,6 +141,7 @@
         case event::attempt_failed:
         case event::answer_cut:
         case event::answer_skipped:
+        case event::answer_header_invalid:
         case event::attempt_retried:
         case event::attempt_resumed:
         case event::adapter_refused:
--- a/libs/sidecar/include/sidecar/engine_protocol.h
+++ b/libs/sidecar/include/sidecar/engine_protocol.h
@@ -33,6 +33,8 @@
     std::uint32_t reading = 0;
     std::uint64_t kv_used = 0;
     std::uint64_t kv_total = 0;
+    // The engine is leaving; from the answer's headers.
+    bool leaving = false;
 };
 
 enum class order_action { load, unload };
@@ -65,6 +67,8 @@
 struct engine_protocol {
     std::function<engine_call()> report_call;
     std::function<result<engine_report, protocol_error>(std::string_view body)> decode_report;
+    // True if an answer's headers say that the engine is leaving.
+    std::function<bool(const std::vector<std::pair<std::string, std::string>>&)> says_leaving;
     std::function<engine_call(const engine_order&)> order_call;
     std::function<order_answer(unsigned status)> decode_order_answer;
 };
--- a/libs/sidecar/src/beacon_sender.cpp
+++ b/libs/sidecar/src/beacon_sender.cpp
@@ -38,6 +38,7 @@
     b.set_running(r.running);
     b.set_kv_used(r.kv_used);
     b.set_busy(r.busy);
+    b.set_leaving(r.leaving);
     for (const auto& [model, adapters] : r.models) {
         schema::present_model& m = *b.add_models();
         m.set_name(model);
--- a/libs/sidecar/src/engine_link.cpp
+++ b/libs/sidecar/src/engine_link.cpp
@@ -66,7 +66,9 @@
         }
         auto decoded = protocol_.decode_report(value(answer).body);
         if (value(answer).status == 200 && succeeded(decoded)) {
-            co_return value(decoded);
+            engine_report& received = value(decoded);
+            received.leaving = protocol_.says_leaving(value(answer).headers);
+            co_return received;
         }
         failure_ = succeeded(decoded) ? "status " + std::to_string(value(answer).status)
                                       : error(decoded).message;
