--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -7,6 +7,7 @@
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
 
@@ -449,21 +450,21 @@
 
 asio::awaitable<attempt_end> attempt(core& c, session& caller, request_state& r,
                                      dispatch::choice to, std::shared_ptr<successor> prepared) {
-    const std::string id = to.to->id;
-    const std::string address = to.to->address;
+    const dispatch::incarnation target = dispatch::incarnation_of(*to.to);
+    const std::string& id = target.id;
     r.backlog_ms = dispatch::backlog_ms(*to.to, runtime::boot_now());
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
     r.ending = {};
     r.event_in_attempt = false;
-    r.sent_to_born_ms = prepared != nullptr ? prepared->born_ms : to.to->born_ms;
+    r.sent_to_born_ms = prepared != nullptr ? prepared->target.born_ms : target.born_ms;
     r.sent_at = runtime::boot_now();
     std::shared_ptr<exchange> e;
     if (prepared != nullptr) {
         e = prepared->sent_on;
     } else {
         std::string failure;
-        connection_ptr connection = co_await acquire_connection(c, r, id, address, failure);
+        connection_ptr connection = co_await acquire_connection(c, r, id, target.address, failure);
         if (connection == nullptr) {
             r.last_failure = "connect: " + failure;
             count_outcome(guard, attempt_outcome::unreachable);
@@ -473,6 +474,13 @@
         if (caller.caller_left()) {
             co_return attempt_end::finished;
         }
+        if (const std::string notice = notice_against(c, id); !notice.empty()) {
+            // It arrived while the request waited for the connection.
+            return_unused(c.pools[id], connection);
+            r.last_failure = notice;
+            log_failed_attempt(r, id, "not_sent");
+            co_return attempt_end::not_run;
+        }
         if (judge_request(c, r, runtime::boot_now()).quarantined) {
             return_unused(c.pools[id], connection);
             co_return attempt_end::not_run;
@@ -481,7 +489,7 @@
             r.sent_to_born_ms = u->born_ms;
         }
         record_send_to(c, r, id);
-        e = std::make_shared<exchange>(connection, c.protocol);
+        e = std::make_shared<exchange>(connection, c.protocol, notice_observer(c, target));
     }
     r.expected_ms = to.expected_ms;
     r.read_tokens = to.read_tokens;
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -51,14 +51,6 @@
 
 // --- Commands
 
-// An idle connection that is still open; null if there is none. With `recent_only`, only one that
-// was recently used.
-[[nodiscard]] connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now);
-// Adds a connection on which a complete answer has been read.
-void keep(connection_pool& pool, connection_ptr c, time_point now);
-// Closes connections whose idle time is over.
-void close_expired(connection_pool& pool, time_point now);
-
 boost::asio::awaitable<result<connection_ptr, connect_error>> connect(
     boost::asio::io_context& context, settings::endpoint to, duration timeout);
 
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -85,9 +85,11 @@
     engine_crash_refuted,
     crash_reported,
     request_quarantined,
+    answer_header_invalid,
+    upstream_notice,
 };
 
-inline constexpr name_table<event, 72> event_names{{
+inline constexpr name_table<event, 74> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -160,6 +162,8 @@
     {event::engine_crash_refuted, "engine_crash_refuted"},
     {event::crash_reported, "crash_reported"},
     {event::request_quarantined, "request_quarantined"},
+    {event::answer_header_invalid, "answer_header_invalid"},
+    {event::upstream_notice, "upstream_notice"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
