--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -51,13 +51,19 @@
 
 // --- Commands
 
+// An idle connection that is still open; null if there is none. With `recent_only`, only one that
+// was recently used.
+[[nodiscard]] connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now);
+// Adds a connection on which a complete answer has been read.
+void keep(connection_pool& pool, connection_ptr c, time_point now);
+// Puts back an idle connection that was taken and not used; closes one that is new.
+void return_unused(connection_pool& pool, connection_ptr c);
+// Closes connections whose idle time is over.
+void close_expired(connection_pool& pool, time_point now);
+
 boost::asio::awaitable<result<connection_ptr, connect_error>> connect(
     boost::asio::io_context& context, settings::endpoint to, duration timeout);
 
-// Puts back a connection taken from the pool that was not used. New connections are dropped, since
-// they have no known idle time-out.
-void return_unused(connection_pool& pool, connection_ptr c);
-
 // Lets a connection last through `silence` of its peer's kernel, if that is longer than the limit
 // set so far; `keep` restores that limit.
 void tolerate_silence(upstream_connection& c, duration silence);
