Send nothing to an upstream within the pause that its 503 asks for

Callers saw requests sent, again and again, to upstreams that had refused one with 503 and a time to come back, and got 300 ms as the time to come back where every upstream had asked for seconds.

Cause: the header was read in answers to callers only. With record_pause left without effect, the tests fail:

test_upstream_notices.cpp:217: ERROR: CHECK( count_at(upstreams, paused) == 1 ) is NOT correct! values: CHECK( 14 == 1 ) test_upstream_notices.cpp:238: ERROR: CHECK( come_back_ms(answer) > 3000 ) is NOT correct! values: CHECK( 300 > 3000 ) test_upstream_notices.cpp:253 (before the function was added): ERROR: CHECK( upstreams.ports()[received[0].upstream] != chosen ): CHECK( 38749 != 38749 ) test_choice.cpp:115: ERROR: CHECK_FALSE( choose(all, view(w), {}, now, f.rng) ) is NOT correct!

The case of a restart guards the change only: it passes without it.

An upstream is passed over by choices, takeovers and sends that had a connection to wait for, until its pause or its incarnation ends. If all that could serve are paused, callers are refused at once with the time until the first pause ends.

The test of leaving upstreams resets the health records after the first answer, as the new one does: a failure alone kept two of its four kinds of answers from being tried again.

--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -51,17 +51,19 @@
     leaves_too_soon,
     model_absent,
     adapter_blocked,
+    paused,
     ejected,
     tried
 };
 
-inline constexpr name_table<obstacle, 8> obstacle_names{{
+inline constexpr name_table<obstacle, 9> obstacle_names{{
     {obstacle::none, "none"},
     {obstacle::not_accepting, "not_accepting"},
     {obstacle::leaving, "leaving"},
     {obstacle::leaves_too_soon, "leaves_too_soon"},
     {obstacle::model_absent, "model_absent"},
     {obstacle::adapter_blocked, "adapter_blocked"},
+    {obstacle::paused, "paused"},
     {obstacle::ejected, "ejected"},
     {obstacle::tried, "tried"},
 }};
@@ -93,7 +95,7 @@
 [[nodiscard]] bool is_long(const work& w, const role_settings& s);
 
 // What the upstream's own answers say against any further request; none if they say nothing.
-[[nodiscard]] obstacle notice_of(const upstream& u);
+[[nodiscard]] obstacle notice_of(const upstream& u, time_point now);
 [[nodiscard]] obstacle obstacle_to(const upstream& u, const request_view& r, time_point now);
 // Expected time to the first byte at `u`, in milliseconds.
 [[nodiscard]] double expected_ms(const upstream& u, const request_view& r, const choice_settings& s,
@@ -103,6 +105,10 @@
 [[nodiscard]] std::optional<choice> choose(const std::vector<upstream*>& all, const request_view& r,
                                            const choice_settings& s, time_point now,
                                            std::mt19937_64& rng);
+// If an upstream could serve the request but for a pause, and no other one can: the time until the
+// first pause ends. Empty otherwise.
+[[nodiscard]] std::optional<duration> time_until_resumption(const std::vector<upstream*>& all,
+                                                            const request_view& r, time_point now);
 // Baseline for comparison: a uniformly random upstream among the eligible ones.
 [[nodiscard]] std::optional<choice> choose_random(const std::vector<upstream*>& all,
                                                   const request_view& r, time_point now,
@@ -110,6 +116,9 @@
 
 // --- Commands
 
+// Applies a refusal that asks for a pause. It does not shorten an earlier one.
+void record_pause(upstream& u, duration pause, time_point now);
+
 enum class attempt_outcome { served, failed, unreachable, silent };
 
 // Updates the health record with the outcome of one attempt. `slowness` is the observed time to the
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -90,6 +90,8 @@
     // True once one of its answers or its engine's reports said that it leaves; it then gets no new
     // requests. Ends with the incarnation.
     bool leaving = false;
+    // Until this time it wants no requests from this gateway, as its refusals said.
+    time_point paused_until{};
     // Announced time of shutdown; time_point::max() if none was announced.
     time_point leaves_at = time_point::max();
     time_point cold_until{};
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -96,16 +96,19 @@
     return w.prompt_tokens >= s.long_prompt_tokens;
 }
 
-obstacle notice_of(const upstream& u) {
-    return u.leaving ? obstacle::leaving : obstacle::none;
+obstacle notice_of(const upstream& u, time_point now) {
+    if (u.leaving) {
+        return obstacle::leaving;
+    }
+    return u.paused_until > now ? obstacle::paused : obstacle::none;
 }
 
 obstacle obstacle_to(const upstream& u, const request_view& r, time_point now) {
     if (!u.accepting || u.service != r.service) {
         return obstacle::not_accepting;
     }
-    if (const obstacle notice = notice_of(u); notice != obstacle::none) {
-        return notice;
+    if (u.leaving) {
+        return obstacle::leaving;
     }
     if (u.leaves_at != time_point::max() && u.leaves_at - now < departure_margin) {
         return obstacle::leaves_too_soon;
@@ -120,6 +123,9 @@
         !holds_adapter(u, *r.needs, now)) {
         return obstacle::adapter_blocked;
     }
+    if (u.paused_until > now) {
+        return obstacle::paused;
+    }
     return ejected(u, now) ? obstacle::ejected : obstacle::none;
 }
 
@@ -201,6 +207,26 @@
     return best;
 }
 
+std::optional<duration> time_until_resumption(const std::vector<upstream*>& all,
+                                              const request_view& r, time_point now) {
+    std::optional<duration> shortest;
+    for (const upstream* u : all) {
+        const obstacle o = obstacle_to(*u, r, now);
+        if (o == obstacle::none || o == obstacle::ejected) {
+            return std::nullopt;
+        }
+        if (o == obstacle::paused) {
+            const duration left = u->paused_until - now;
+            shortest = shortest ? std::min(*shortest, left) : left;
+        }
+    }
+    return shortest;
+}
+
+void record_pause(upstream& u, duration pause, time_point now) {
+    u.paused_until = std::max(u.paused_until, now + pause);
+}
+
 std::optional<choice> choose_random(const std::vector<upstream*>& all, const request_view& r,
                                     time_point now, std::mt19937_64& rng) {
     std::vector<upstream*> eligible;
--- a/libs/dispatch/tests/test_choice.cpp
+++ b/libs/dispatch/tests/test_choice.cpp
@@ -95,6 +95,34 @@
     CHECK_FALSE(choose(all, view(w), {}, now, f.rng));
 }
 
+// Guards against paused upstreams taken as a fallback where all others are ejected.
+TEST_CASE("a paused upstream is not chosen before its pause ends") {
+    fleet f(3);
+    const duration second = std::chrono::seconds(1);
+    record_pause(f.all[0], 2 * second, now);
+    record_pause(f.all[0], second, now);
+    f.all[1].health.ejected_until = now + second;
+    f.all[2].accepting = false;
+    const work w = generation(5);
+    const auto all = f.pointers();
+    for (int i = 0; i < 50; ++i) {
+        const auto chosen = choose(all, view(w), {}, now + second * 3 / 2, f.rng);
+        REQUIRE(chosen);
+        CHECK(chosen->to->id == "u1");
+    }
+    CHECK_FALSE(time_until_resumption(all, view(w), now));
+    f.all[1].accepting = false;
+    CHECK_FALSE(choose(all, view(w), {}, now, f.rng));
+    CHECK(time_until_resumption(all, view(w), now) == 2 * second);
+    f.all[1].accepting = true;
+    record_pause(f.all[1], second, now);
+    CHECK(time_until_resumption(all, view(w), now) == second);
+    // A pause of an upstream that could not serve the request says nothing.
+    f.all[1].models.clear();
+    CHECK(time_until_resumption(all, view(w), now) == 2 * second);
+    CHECK(choose(all, view(w), {}, now + 2 * second, f.rng)->to->id == "u0");
+}
+
 TEST_CASE("gateways send equal shared prompt parts to the same engine without coordination") {
     const work w = generation(42);
     std::string first;
--- a/libs/gateway/include/gateway/protocol.h
+++ b/libs/gateway/include/gateway/protocol.h
@@ -47,6 +47,9 @@
     std::optional<duration> keep_alive;
     // The upstream is leaving; it is to get no further requests.
     bool leaving = false;
+    // The upstream refused the request and is to get no other one for this long; empty if not
+    // stated.
+    std::optional<duration> pause;
     // Name and value of a header that was ignored or clamped because of its value; empty if all
     // were valid.
     std::string invalid_header;
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -130,6 +130,15 @@
     co_return true;
 }
 
+// The time after which the caller may come back, if the upstreams that could serve the request all
+// ask for a pause; empty otherwise. The upstreams that it was sent to count as well, since the next
+// request may go to them.
+std::optional<duration> pause_of_service(core& c, const request_state& r, time_point now) {
+    dispatch::request_view v = make_request_view(c, r);
+    v.tried = nullptr;
+    return dispatch::time_until_resumption(upstreams_of(c.view, r.service), v, now);
+}
+
 // The upstream for the next attempt. While none can take the request, waits for up to
 // `wait_fraction` of the remaining time, but only if the request has not been sent before.
 asio::awaitable<std::optional<dispatch::choice>> next_upstream(core& c, session& caller,
@@ -149,7 +158,11 @@
             demand_counted = true;
             ++c.demand[demand_key_of(c, r)].unplaced;
         }
-        if (now - began >= max_wait || c.draining || !r.tried.empty()) {
+        const bool paused = pause_of_service(c, r, now).has_value();
+        if (paused && r.last_failure.empty()) {
+            r.last_failure = "all upstreams ask for a pause";
+        }
+        if (now - began >= max_wait || c.draining || !r.tried.empty() || paused) {
             break;
         }
         co_await wait_for_view_change(c, recheck_interval);
@@ -247,7 +260,9 @@
     // outcome.
     if (!r.may_have_run) {
         std::string reason = "no upstream accepted the request: " + r.last_failure;
-        co_await refuse(c, caller, r, unavailable, std::move(reason), retry_after_no_upstream);
+        const duration retry_after =
+            pause_of_service(c, r, runtime::boot_now()).value_or(retry_after_no_upstream);
+        co_await refuse(c, caller, r, unavailable, std::move(reason), retry_after);
         co_return;
     }
     const bool late = time_left(r, runtime::boot_now()) <= duration::zero();
--- a/libs/gateway/src/upstream_notices.cpp
+++ b/libs/gateway/src/upstream_notices.cpp
@@ -14,6 +14,18 @@
 
 namespace {
 
+void pause_upstream(dispatch::upstream& u, duration pause, time_point now) {
+    const bool was_paused = u.paused_until > now;
+    dispatch::record_pause(u, pause, now);
+    if (!was_paused) {
+        log_event(severity::info, event::upstream_notice,
+                  {{"upstream", u.id},
+                   {"notice", name_in(dispatch::obstacle_names, dispatch::obstacle::paused)},
+                   {"pause_ms", to_milliseconds(pause)},
+                   {"in_flight", u.in_flight}});
+    }
+}
+
 void apply_notices(core& c, const dispatch::incarnation& from, const answer_facts& facts) {
     if (!facts.invalid_header.empty()) {
         log_event(severity::info, event::answer_header_invalid,
@@ -26,6 +38,9 @@
     if (facts.leaving) {
         mark_leaving(found->second, "answer");
     }
+    if (facts.pause) {
+        pause_upstream(found->second, *facts.pause, runtime::boot_now());
+    }
 }
 
 }  // namespace
@@ -35,7 +50,7 @@
     if (found == c.view.upstreams.end()) {
         return "";
     }
-    const dispatch::obstacle o = dispatch::notice_of(found->second);
+    const dispatch::obstacle o = dispatch::notice_of(found->second, runtime::boot_now());
     return o == dispatch::obstacle::none
                ? ""
                : "notice of the upstream: " + std::string(name_in(dispatch::obstacle_names, o));
--- a/libs/gateway/tests/faulty_upstream.h
+++ b/libs/gateway/tests/faulty_upstream.h
@@ -156,7 +156,8 @@
     std::thread thread_;
 };
 
-// Header names: Id (a request's, echoed), Signature, Not-Run, Encoding, Last-Event, Leaving.
+// Header names: Id (a request's, echoed), Signature, Not-Run, Encoding, Last-Event, Leaving,
+// Pause-Ms. Written to callers: Come-Back-Ms.
 inline caller_protocol short_protocol() {
     caller_protocol p;
     p.read_request = [](const header_list& headers) {
@@ -177,9 +178,14 @@
         f.not_run = !find_header(headers, "Not-Run").empty();
         f.encoded = !find_header(headers, "Encoding").empty();
         f.leaving = !find_header(headers, "Leaving").empty();
+        if (const std::string_view ms = find_header(headers, "Pause-Ms"); !ms.empty()) {
+            f.pause = std::chrono::milliseconds(std::stoi(std::string(ms)));
+        }
         return f;
     };
-    p.write_retry_after = [](header_list&, duration) {};
+    p.write_retry_after = [](header_list& headers, duration d) {
+        headers.emplace_back("Come-Back-Ms", std::to_string(to_milliseconds(d)));
+    };
     return p;
 }
 
--- a/libs/gateway/tests/test_upstream_notices.cpp
+++ b/libs/gateway/tests/test_upstream_notices.cpp
@@ -1,4 +1,5 @@
-// Upstreams that say in their answers that they leave, at a gateway that hears no announcement.
+// Upstreams that say in their answers that they leave, or that they want no requests for some time,
+// at a gateway that hears no announcement.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include <doctest/doctest.h>
 
@@ -57,6 +58,15 @@
     }
 }
 
+// Resets the health records, so that a failure alone keeps no upstream from being chosen.
+void forget_outcomes(gateway_under_test& g) {
+    g.run([](core& c) {
+        for (auto& [id, u] : c.view.upstreams) {
+            u.health = {};
+        }
+    });
+}
+
 bool says_served(const std::string& answer) {
     return answer.starts_with("HTTP/1.1 200");
 }
@@ -90,6 +100,7 @@
         (void)g.call("first");
         REQUIRE(!upstreams.received().empty());
         const std::size_t leaving_upstream = upstreams.received()[0].upstream;
+        forget_outcomes(g);
         call_repeatedly(g);
         CHECK(count_at(upstreams, leaving_upstream) == 1);
     }
@@ -192,3 +203,75 @@
     CHECK(prepared);
     CHECK(upstreams.received().size() == 1);
 }
+
+// Guards against requests sent to an upstream within the pause that it asked for.
+TEST_CASE("a paused upstream gets no request, retries included, until its pause ends") {
+    const scripted_upstreams upstreams(2, answers_after({{refusal("Pause-Ms: 1500\r\n")}}));
+    gateway_under_test g(upstreams.ports(), repeatability::idempotent);
+    const time_point began = runtime::boot_now();
+    CHECK(says_served(g.call("first")));
+    const std::size_t paused = upstreams.received()[0].upstream;
+    forget_outcomes(g);
+    call_repeatedly(g);
+    REQUIRE(runtime::boot_now() - began < milliseconds(1500));
+    CHECK(count_at(upstreams, paused) == 1);
+    std::this_thread::sleep_for(milliseconds(1600));
+    g.run([&](core& c) { upstream_at(c, upstreams.ports()[1 - paused]).accepting = false; });
+    CHECK(says_served(g.call("later")));
+    CHECK(count_at(upstreams, paused) == 2);
+}
+
+// Guards against callers that wait, or come back too soon, where every upstream is paused.
+TEST_CASE("if all upstreams are paused, callers are refused at once with the shortest pause") {
+    const scripted_upstreams upstreams(
+        2, answers_after({{refusal("Pause-Ms: 9000\r\n")}, {refusal("Pause-Ms: 5000\r\n")}}));
+    gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+    const auto come_back_ms = [](const std::string& answer) {
+        const std::string name = "Come-Back-Ms: ";
+        const std::size_t at = answer.find(name);
+        return at == std::string::npos ? 0 : std::stoi(answer.substr(at + name.size()));
+    };
+    for (const char* id : {"first", "second", "third"}) {
+        const time_point began = runtime::boot_now();
+        const std::string answer = g.call(id);
+        CHECK(answer.starts_with("HTTP/1.1 503"));
+        CHECK(come_back_ms(answer) > 3000);
+        CHECK(come_back_ms(answer) <= 5000);
+        CHECK(runtime::boot_now() - began < milliseconds(900));
+    }
+    CHECK(upstreams.received().size() == 2);
+}
+
+// Guards against a burst whose requests were chosen before the refusal came.
+TEST_CASE(
+    "a request that waits for a connection is not sent to an upstream that is paused meanwhile") {
+    const scripted_upstreams upstreams(2, answers_after({}));
+    gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+    std::uint16_t chosen = 0;
+    g.run_during_connect([&](core& c) {
+        for (const std::uint16_t port : upstreams.ports()) {
+            if (upstream_at(c, port).in_flight > 0) {
+                chosen = port;
+                dispatch::record_pause(upstream_at(c, port), milliseconds(5000),
+                                       runtime::boot_now());
+            }
+        }
+    });
+    CHECK(says_served(g.call("r")));
+    REQUIRE(chosen != 0);
+    const auto received = upstreams.received();
+    REQUIRE(received.size() == 1);
+    CHECK(upstreams.ports()[received[0].upstream] != chosen);
+}
+
+// Guards against a restarted upstream that is held to the pause of its earlier incarnation.
+TEST_CASE("a pause ends when the upstream restarts under the same id") {
+    const scripted_upstreams upstreams(1, answers_after({{refusal("Pause-Ms: 9000\r\n")}}));
+    gateway_under_test g(upstreams.ports(), repeatability::idempotent);
+    CHECK(g.call("first").starts_with("HTTP/1.1 503"));
+    g.run([&](core& c) {
+        const dispatch::upstream& u = upstream_at(c, upstreams.ports()[0]);
+        CHECK(apply_announcement(c.view, restart_of(u), runtime::boot_now()));
+    });
+    call_repeatedly(g);
+}
