--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -370,6 +370,39 @@
     return v;
 }
 
+asio::awaitable<void> refuse(core& c, session& caller, request_state& r, unsigned status,
+                             std::string reason, duration retry_after) {
+    c.metrics.count("burdockdeck_requests_refused_total", "status=" + std::to_string(status));
+    log_event(
+        severity::info, event::request_refused,
+        {{"request", r.facts.id},
+         {"route", r.route.name},
+         {"status", static_cast<std::uint64_t>(status)},
+         {"reason", reason},
+         {"sends", static_cast<std::uint64_t>(r.tried.size())},
+         {"last_failure", r.last_failure},
+         {"begun", r.head_sent ? "yes" : "no"},
+         {"version", c.view.current.version},
+         {"version_routed", r.version},
+         {"since_stop_ms", since_stop(c, runtime::boot_now())},
+         {"upstreams", count_obstacles(c, r, runtime::boot_now())},
+         {"version_confirmed_ms_ago", to_milliseconds(runtime::boot_now() - c.view.confirmed_at)},
+         {"age_ms", to_milliseconds(runtime::boot_now() - r.request.arrived)},
+         {"come_back_ms", to_milliseconds(retry_after)}});
+    if (r.head_sent) {
+        caller.close_now();
+        co_return;
+    }
+    caller_answer answer;
+    answer.status = status;
+    answer.body = reason + "\n";
+    answer.headers.emplace_back("Content-Type", "text/plain");
+    if (retry_after > duration::zero()) {
+        c.protocol.write_retry_after(answer.headers, retry_after);
+    }
+    (void)co_await caller.respond(std::move(answer));
+}
+
 asio::awaitable<void> serve(core& c, session& caller, caller_request request) {
     auto r = std::make_shared<request_state>();
     r->request = std::move(request);
