Gateway: give an upstream the request's time to read a long body

Callers got 502, 'Connection timed out', for a request of 1 MiB whose upstream began to read it 2.6 s late.

Cause: the connection ends after 1.5 s in which the upstream's kernel acknowledges nothing, and it acknowledges no bytes beyond its buffer while its program does not read.

Change: for bodies that the buffers of the connection may not hold, the limit is the time that the request has left.

--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -26,6 +26,8 @@
 // Interim answers (1xx) accepted before the final one. None is expected, since no request has an
 // Expect header.
 constexpr int max_interim_answers = 4;
+// Requests up to this length fit into the buffers of the connection.
+constexpr std::size_t max_buffered_request_bytes = 48 * 1024;
 // Most bytes of a body that are read to skip an answer to another request.
 constexpr std::size_t max_skipped_bytes = 256 * 1024;
 // Late answers to earlier requests that are skipped; one more makes the attempt fail.
@@ -208,6 +210,10 @@
 
 asio::awaitable<send_status> exchange::send(const outgoing_request& r, duration timeout) {
     ++c_->requests;
+    if (r.body->size() > max_buffered_request_bytes) {
+        // An upstream may read a long body late; its kernel acknowledges none of it meanwhile.
+        tolerate_silence(timeout);
+    }
     const deadline until = std::chrono::steady_clock::now() + timeout;
     const bool written = co_await write(r, until);
     if (aborted_) {
