--- a/libs/gateway/tests/faulty_upstream.h
+++ b/libs/gateway/tests/faulty_upstream.h
@@ -229,8 +229,8 @@
         done.get_future().get();
     }
 
-    // Everything that a caller receives for a request with this id, until the connection is closed.
-    std::string call(const std::string& id) {
+    // The caller's end of a connection on which a request with this id has been sent.
+    tcp::socket begin_call(const std::string& id, const std::string& body = "body") {
         tcp::acceptor front(outside_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
         tcp::socket caller(outside_);
         caller.connect(front.local_endpoint());
@@ -241,8 +241,14 @@
         s.reset();
         const std::string request =
             "POST /a HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\nId: " + id +
-            "\r\nContent-Length: 4\r\n\r\nbody";
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         asio::write(caller, asio::buffer(request));
+        return caller;
+    }
+
+    // Everything that a caller receives for a request with this id, until the connection is closed.
+    std::string call(const std::string& id) {
+        tcp::socket caller = begin_call(id);
         std::string all;
         boost::system::error_code ended;
         asio::read(caller, asio::dynamic_buffer(all), ended);
