Gateway: log the age of a request at its last send, and how late the loop is

To tell apart why a request is sent on for a caller that has left, a reader needs to know when it was sent and whether the process lagged behind what had arrived: `request_ended` and `answer_cut` now have `last_send_age_ms`, `answer_cut` has `loop_lag_ms`, and the histogram `burdockdeck_loop_lag_seconds` has the lag of the traffic loop. No decision depends on them.

--- a/libs/gateway/src/answer_cut.cpp
+++ b/libs/gateway/src/answer_cut.cpp
@@ -37,6 +37,11 @@
     return out;
 }
 
+std::string last_send_age(const request_state& r) {
+    return r.tried.empty() ? "none"
+                           : std::to_string(to_milliseconds(r.last_send_at - r.request.arrived));
+}
+
 std::string since_stop(const core& c, time_point now) {
     return c.draining ? std::to_string(to_milliseconds(now - c.draining_since)) : "none";
 }
@@ -66,6 +71,8 @@
                {"detail", how.detail},
                {"caller_error", caller_failure},
                {"age_ms", to_milliseconds(at - r.request.arrived)},
+               {"last_send_age_ms", last_send_age(r)},
+               {"loop_lag_ms", to_milliseconds(c.loop_lag)},
                {"silence_ms", to_milliseconds(how.silence)},
                {"events", r.events_forwarded},
                {"left_ms", to_milliseconds(time_left(r, at))},
--- a/libs/gateway/src/answer_cut.h
+++ b/libs/gateway/src/answer_cut.h
@@ -60,6 +60,8 @@
 
 // The number of the service's upstreams by obstacle to `r`, as in "none:1,tried:2".
 [[nodiscard]] std::string count_obstacles(core& c, const request_state& r, time_point now);
+// The request's age when it was last sent to an upstream, in milliseconds, or "none".
+[[nodiscard]] std::string last_send_age(const request_state& r);
 // Milliseconds from the stop signal to `now`, or "none" if there was no signal.
 [[nodiscard]] std::string since_stop(const core& c, time_point now);
 
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -442,6 +442,7 @@
     dispatch::record_send(c.budgets[r.service], c.settings.budget, !r.tried.empty(),
                           runtime::boot_now());
     r.tried.push_back(id);
+    r.last_send_at = runtime::boot_now();
     const auto found = c.view.upstreams.find(id);
     if (found != c.view.upstreams.end()) {
         dispatch::record_cached(found->second, r.facts.needs, r.kv_tokens);
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -101,6 +101,8 @@
     std::function<void()> request_confirmation;
     bool confirmation_pending = false;
     time_point draining_since{};
+    // By how much the last timer of the traffic loop was late; what arrives waits as long.
+    duration loop_lag{};
     // Also read by the loop that answers readiness checks.
     std::atomic<bool> ready{false};
     std::atomic<bool> draining{false};
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -456,6 +456,7 @@
                {"upstream", r->tried.empty() ? "" : r->tried.back()},
                {"sends", static_cast<std::uint64_t>(r->tried.size())},
                {"took_ms", to_milliseconds(took)},
+               {"last_send_age_ms", last_send_age(*r)},
                {"first_event_ms", to_milliseconds(r->time_to_first_event)},
                {"longest_gap_ms", to_milliseconds(r->longest_gap)},
                {"prompt_tokens", r->facts.needs.prompt_tokens},
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -30,6 +30,7 @@
     // The earlier of the caller's deadline and the route's timeout.
     time_point finish_by{};
     std::vector<std::string> tried;
+    time_point last_send_at{};
     // True if the route allows that the request is sent again, streams after their last event.
     bool repeatable = false;
     // True once an attempt ended with unknown outcome: the request may have been executed.
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -244,8 +244,11 @@
     asio::awaitable<void> run_maintenance() {
         core& c = gateway_core;
         while (true) {
+            const time_point due = runtime::boot_now() + maintenance_interval;
             co_await runtime::sleep_for(maintenance_interval);
             const time_point now = runtime::boot_now();
+            c.loop_lag = std::max(duration::zero(), now - due);
+            c.metrics.observe("burdockdeck_loop_lag_seconds", c.loop_lag);
             replace_silent_attempts(c, now);
             for (auto& [id, pool] : c.pools) {
                 close_expired(pool, now);
