Notice a caller's close behind the bytes of a next request

What callers saw: nothing; upstreams worked on for callers that had left.

Cause: the gateway waited once for the caller's socket to become readable and then looked whether there were bytes. Bytes of an early next request ended the watch, and a close behind them stayed unseen. The HTTP server of the product's own interface had the same watch.

Change: runtime::peer_watch, used by both. It asks the kernel whether the peer has closed, which is also visible behind unread bytes, and keeps looking every 100 ms while bytes are unread. Nothing is read early, so what a closing gateway does with a next request is as before.

--- a/libs/gateway/src/session.cpp
+++ b/libs/gateway/src/session.cpp
@@ -13,8 +13,6 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <cerrno>
-#include <cstring>
 
 #include "exchange.h"
 #include "request.h"
@@ -106,28 +104,23 @@
     stream_.socket().close(ignored);
 }
 
-// Detects that the caller has closed its connection. The socket then becomes readable, as it does
-// when the caller sends its next request early; reading with MSG_PEEK distinguishes the two.
 void session::watch_caller() {
-    const std::uint64_t serial = ++watch_serial_;
-    stream_.socket().async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this(), serial](const boost::system::error_code& failed) {
-            if (serial != self->watch_serial_ || failed == asio::error::operation_aborted) {
-                return;
-            }
-            char byte = 0;
-            const ssize_t got =
-                ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            const bool alive = got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR));
-            if (!alive) {
-                self->caller_closed_ = true;
-                self->failure_ = got == 0 ? "closed" : std::strerror(errno);
-                if (self->on_caller_left_) {
-                    self->on_caller_left_();
-                }
-            }
-        });
+    watch_ = runtime::peer_watch::start(stream_.socket(), shared_from_this(),
+                                        [this] { record_close(); });
+}
+
+void session::record_close() {
+    caller_closed_ = true;
+    failure_ = "closed";
+    if (on_caller_left_) {
+        on_caller_left_();
+    }
+}
+
+void session::check_caller() {
+    if (watch_ != nullptr) {
+        watch_->check();
+    }
 }
 
 asio::awaitable<bool> session::wait_for_bytes() {
@@ -224,9 +217,8 @@
         watch_caller();
         co_await serve(core_, *this, std::move(r));
         on_caller_left_ = nullptr;
-        ++watch_serial_;
-        boost::system::error_code ignored;
-        stream_.socket().cancel(ignored);
+        watch_->stop();
+        watch_.reset();
         if (!answered_ || caller_closed_) {
             break;
         }
--- a/libs/gateway/src/session.h
+++ b/libs/gateway/src/session.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "core.h"
+#include "runtime/peer_watch.h"
 
 namespace burdockdeck::gateway {
 
@@ -50,6 +51,9 @@
     // Sets the handler that is called when the caller closes its connection; replaces the previous
     // one. Called immediately if the connection is already closed.
     void on_caller_left(std::function<void()> handler);
+    // Looks at the connection itself, so that `caller_left` includes a close that the loop has not
+    // reported yet. To be called before anything is sent for the caller.
+    void check_caller();
     boost::asio::awaitable<bool> respond(caller_answer answer);
     // Sends the head of an answer whose body follows in chunks.
     boost::asio::awaitable<bool> begin(unsigned status, const header_list& headers);
@@ -63,6 +67,7 @@
     boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason);
     boost::asio::awaitable<bool> wait_for_bytes();
     void watch_caller();
+    void record_close();
     // Counts the session among those in `active_requests` while it has a request.
     void set_in_progress(bool in_progress);
     void record_failure(const boost::system::error_code& failed);
@@ -79,7 +84,8 @@
     bool keep_alive_ = true;
     bool answered_ = false;
     bool closed_ = false;
-    std::uint64_t watch_serial_ = 0;
+    // While a request is being served.
+    std::shared_ptr<runtime::peer_watch> watch_;
 };
 
 }  // namespace burdockdeck::gateway
--- a/libs/runtime/src/http_server.cpp
+++ b/libs/runtime/src/http_server.cpp
@@ -1,6 +1,4 @@
 // HTTP server with one coroutine per connection.
-#include <sys/socket.h>
-
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,6 +7,7 @@
 
 #include "http_common.h"
 #include "runtime/log.h"
+#include "runtime/peer_watch.h"
 
 namespace burdockdeck::runtime {
 
@@ -99,12 +98,14 @@
     }
 
     void watch_caller(std::function<void()> on_disconnect) override {
-        on_disconnect_ = std::move(on_disconnect);
-        stream_.socket().async_wait(
-            tcp::socket::wait_read,
-            [self = shared_from_this()](const boost::system::error_code& failed) {
-                self->check_caller(failed);
-            });
+        if (watch_ != nullptr) {
+            watch_->stop();
+        }
+        watch_ = peer_watch::start(stream_.socket(), shared_from_this(),
+                                   [this, on_disconnect = std::move(on_disconnect)] {
+                                       disconnected_ = true;
+                                       on_disconnect();
+                                   });
     }
 
     asio::awaitable<void> serve(std::shared_ptr<http_server::state> server);
@@ -125,23 +126,6 @@
         message.keep_alive(keep_alive_);
     }
 
-    // A socket that is readable but has no bytes was closed by the caller.
-    void check_caller(const boost::system::error_code& failed) {
-        if (failed || !on_disconnect_) {
-            return;
-        }
-        char byte = 0;
-        const ssize_t got =
-            ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))) {
-            return;
-        }
-        disconnected_ = true;
-        const std::function<void()> on_disconnect = std::move(on_disconnect_);
-        on_disconnect_ = nullptr;
-        on_disconnect();
-    }
-
     asio::awaitable<bool> read_request(const http_limits& limits);
     asio::awaitable<void> refuse(unsigned status, std::string message);
 
@@ -151,7 +135,7 @@
     bool keep_alive_ = true;
     bool answered_ = false;
     bool disconnected_ = false;
-    std::function<void()> on_disconnect_;
+    std::shared_ptr<peer_watch> watch_;
 };
 
 asio::awaitable<void> connection::refuse(unsigned status, std::string message) {
@@ -225,7 +209,10 @@
         ++server->active;
         co_await server->handler(*this);
         --server->active;
-        on_disconnect_ = nullptr;
+        if (watch_ != nullptr) {
+            watch_->stop();
+            watch_.reset();
+        }
         if (!answered_ || !keep_alive_ || server->stopping) {
             break;
         }
