Send no request whose caller's close has arrived

What callers saw: nothing; upstreams got requests whose callers had closed the connection before the request was read.

Cause: a request that is read late (the loop lags, the accept queue is full, the process stood still) comes together with its caller's close. The loop reports the close in its next turn, and with an idle connection to the upstream nothing suspends the request between reading and sending. Its age does not tell, since it counts from the reading.

Change: right before each send, and before an adapter is loaded, the gateway asks the kernel whether the caller has closed. The connection that was taken goes back to the pool; burdockdeck_requests_withheld_total counts. Costs one recv a send.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -472,7 +472,10 @@
             log_failed_attempt(r, id, "not_sent");
             co_return attempt_end::not_run;
         }
+        caller.check_caller();
         if (caller.caller_left()) {
+            c.metrics.count("burdockdeck_requests_withheld_total");
+            return_unused(c.pools[id], connection);
             co_return attempt_end::finished;
         }
         if (const std::string notice = notice_against(c, id); !notice.empty()) {
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -311,6 +311,10 @@
         }
         if (prepared == nullptr && chosen->needs_adapter) {
             const dispatch::choice to = *chosen;
+            caller.check_caller();
+            if (caller.caller_left()) {
+                co_return;
+            }
             if (!co_await ensure_adapter(c, r, to)) {
                 if (++unsent_attempts > max_unsent_attempts) {
                     break;
