Send a silent attempt to no successor once its caller's close has arrived

Change: the successor's connection is opened, and the request sent on it, only after the kernel was asked whether the caller is still there.

--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -409,6 +409,7 @@
 
 asio::awaitable<void> serve(core& c, session& caller, caller_request request) {
     auto r = std::make_shared<request_state>();
+    r->caller = caller.weak_from_this();
     r->request = std::move(request);
     r->facts = c.protocol.read_request(r->request.headers);
     while (!has_deployment(c) && !caller.caller_left() &&
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -18,6 +18,8 @@
 // Invariants: `tried` holds each upstream that the request was sent to, in order; `route` and
 // `service` are copies from the deployment in force when the request was routed and do not change.
 struct request_state {
+    // The connection that the request came on.
+    std::weak_ptr<session> caller;
     caller_request request;
     request_facts facts;
     deployment::route route;
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -63,6 +63,16 @@
            !r.current->has_unread_bytes();
 }
 
+// True if the caller has not closed its connection. Otherwise the attempts of `r` have been ended.
+bool caller_waits(const request_state& r) {
+    const std::shared_ptr<session> caller = r.caller.lock();
+    if (caller == nullptr) {
+        return false;
+    }
+    caller->check_caller();
+    return !caller->caller_left();
+}
+
 // The upstream for a takeover: one that can serve the request at once.
 std::optional<dispatch::choice> choose_successor(core& c, const request_state& r, time_point now) {
     const dispatch::request_view v = make_request_view(c, r);
@@ -130,7 +140,7 @@
         record_failure(c, *r, *s, dispatch::attempt_outcome::unreachable, "not_sent",
                        "connect: " + failure);
     }
-    const bool is_wanted = r->successor == s;
+    const bool is_wanted = caller_waits(*r) && r->successor == s;
     if (!is_wanted || connection == nullptr ||
         !may_prepare(c, *r, s->chosen, runtime::boot_now())) {
         if (connection != nullptr) {
@@ -179,7 +189,7 @@
         return;
     }
     const auto chosen = choose_successor(c, *r, now);
-    if (!chosen || !may_prepare(c, *r, *chosen, now)) {
+    if (!chosen || !may_prepare(c, *r, *chosen, now) || !caller_waits(*r)) {
         return;
     }
     const auto s = std::make_shared<successor>(c.traffic.context(), *chosen);
