Drop the unsent part of a request that is given up

Cause: giving up an attempt closed its connection in the ordinary way. The kernel goes on delivering what it still holds: once the upstream's window opens or the link recovers, the upstream gets the whole request and runs it. The same held for a silent upstream that was left for its successor.

Change: while the upstream has not acknowledged everything, the close resets the connection, which drops the rest; otherwise it stays ordinary, so that a lost packet cannot hide it from the upstream.

--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -1,7 +1,9 @@
 // Reuse of idle connections, and socket options that detect an unresponsive peer.
 #include "connection_pool.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -89,6 +91,23 @@
     std::erase_if(pool.idle, [&](const connection_ptr& c) { return expired(*c, now); });
 }
 
+std::optional<int> unacknowledged_bytes(upstream_connection& c) {
+    int bytes = 0;
+    if (::ioctl(c.stream.socket().native_handle(), SIOCOUTQ, &bytes) != 0) {
+        return std::nullopt;
+    }
+    return bytes;
+}
+
+void abandon(upstream_connection& c) {
+    boost::system::error_code ignored;
+    if (unacknowledged_bytes(c).value_or(1) > 0) {
+        // The close then resets the connection.
+        c.stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
+    c.stream.socket().close(ignored);
+}
+
 void tolerate_silence(upstream_connection& c, duration silence) {
     if (silence > upstream_user_timeout) {
         set_user_timeout(c, silence);
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -64,6 +64,13 @@
 boost::asio::awaitable<result<connection_ptr, connect_error>> connect(
     boost::asio::io_context& context, settings::endpoint to, duration timeout);
 
+// Bytes that the peer has not acknowledged; empty if the kernel does not tell.
+[[nodiscard]] std::optional<int> unacknowledged_bytes(upstream_connection& c);
+
+// Closes a connection whose request is given up. Bytes that the peer has not received are dropped;
+// an ordinary close would still deliver them.
+void abandon(upstream_connection& c);
+
 // Lets a connection last through `silence` of its peer's kernel, if that is longer than the limit
 // set so far; `keep` restores that limit.
 void tolerate_silence(upstream_connection& c, duration silence);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -265,6 +265,11 @@
     return ::recv(c_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+std::string exchange::unacknowledged() const {
+    const std::optional<int> bytes = unacknowledged_bytes(*c_);
+    return bytes ? std::to_string(*bytes) : "unknown";
+}
+
 void exchange::tolerate_silence(duration silence) {
     gateway::tolerate_silence(*c_, silence);
 }
@@ -272,8 +277,7 @@
 void exchange::abort() {
     aborted_ = true;
     set_cause(end_cause::aborted);
-    boost::system::error_code ignored;
-    c_->stream.socket().close(ignored);
+    abandon(*c_);
 }
 
 connection_ptr exchange::take_reusable(duration default_keep_alive) {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -85,9 +85,12 @@
 
     // True if bytes of the answer have arrived that were not read yet.
     [[nodiscard]] bool has_unread_bytes() const;
+    // Bytes of the request that the upstream has not acknowledged, or "unknown"; for logs.
+    [[nodiscard]] std::string unacknowledged() const;
     // Lets the connection last through `silence` of the upstream's kernel.
     void tolerate_silence(duration silence);
-    // Closes the connection; reads in progress fail.
+    // Closes the connection and drops what the upstream has not received of the request; reads in
+    // progress fail.
     void abort();
     // Releases and returns the connection if it can be used for another request; null otherwise.
     [[nodiscard]] connection_ptr take_reusable(duration default_keep_alive);
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -435,7 +435,9 @@
     count_demand(c, *r);
     c.open_requests.push_back(r);
     caller.on_caller_left([r] {
-        record_ending(*r, cut_cause::caller_left, "", runtime::boot_now());
+        record_ending(*r, cut_cause::caller_left,
+                      r->current ? "unacknowledged bytes: " + r->current->unacknowledged() : "",
+                      runtime::boot_now());
         close_successor(*r);
         if (r->current) {
             r->current->abort();
