Known red: an upstream over the limit that it states

An upstream in need states in its answers how many requests a second it takes from all gateways together.

gateway.rate_limits fails in two of three cases: an upstream that states 2 a second gets 75 of 152 calls in 4 s (17 are allowed), and what a limit leaves no room for is sent all the same.

--- a/libs/gateway/include/gateway/protocol.h
+++ b/libs/gateway/include/gateway/protocol.h
@@ -50,6 +50,8 @@
     // The upstream refused the request and is to get no other one for this long; empty if not
     // stated.
     std::optional<duration> pause;
+    // Requests a second that the upstream takes from all gateways together; empty if not stated.
+    std::optional<double> requests_per_second;
     // Name and value of a header that was ignored or clamped because of its value; empty if all
     // were valid.
     std::string invalid_header;
--- a/libs/gateway/tests/faulty_upstream.h
+++ b/libs/gateway/tests/faulty_upstream.h
@@ -157,7 +157,7 @@
 };
 
 // Header names: Id (a request's, echoed), Signature, Not-Run, Encoding, Last-Event, Leaving,
-// Pause-Ms. Written to callers: Come-Back-Ms.
+// Pause-Ms, Limit. Written to callers: Come-Back-Ms.
 inline caller_protocol short_protocol() {
     caller_protocol p;
     p.read_request = [](const header_list& headers) {
@@ -181,6 +181,9 @@
         if (const std::string_view ms = find_header(headers, "Pause-Ms"); !ms.empty()) {
             f.pause = std::chrono::milliseconds(std::stoi(std::string(ms)));
         }
+        if (const std::string_view limit = find_header(headers, "Limit"); !limit.empty()) {
+            f.requests_per_second = std::stod(std::string(limit));
+        }
         return f;
     };
     p.write_retry_after = [](header_list& headers, duration d) {
