Control: the leader grants permits for upstreams with a stated limit

Gateways report in their demand reports what answers said of limits, and ask the leader for a permit for each request (permit_send). The leader keeps the ledger of libs/ratelimit and lists all limits that it knows in its updates, so that gateways that have not heard of one ask, too. An instance that leads but is not up to date grants nothing: a deposed leader stops within two election timeouts. The ledger is not in the log: a new leader learns the limits with the first questions and reports.

--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -7,6 +7,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "send_permits.h"
 #include "services.h"
 #include "site.h"
 #include "status.h"
@@ -178,6 +179,18 @@
             if (instance_.site) {
                 instance_.site->demand[request->gateway()] = {*request, runtime::boot_now()};
                 withdraw_leaving(instance_, *request);
+                record_limits(instance_, *request);
+            }
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
+    grpc::ServerUnaryReactor* permit_send(grpc::CallbackServerContext* context,
+                                          const rpc::permit_send_request* request,
+                                          rpc::permit_send_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            if (instance_.site) {
+                *reply = answer_permit(instance_, *request);
             }
             reactor->Finish(grpc::Status::OK);
         });
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -5,6 +5,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "send_permits.h"
 
 namespace burdockdeck::control {
 
@@ -48,6 +49,7 @@
         p.set_model(copy.second);
     }
     watch.unloads_sent = true;
+    add_limits(i, update);
     const schema::crash_news news =
         quarantine::news_since(i.site->crashes, watch.sent_crashes, runtime::boot_now());
     if (!quarantine::is_empty(news)) {
@@ -178,6 +180,7 @@
         i.metrics.set("burdockdeck_control_up_to_date", i.raft->is_up_to_date() ? 1 : 0);
         expire_upstreams(i, now);
         quarantine::expire(i.site->crashes, now);
+        expire_limits(i, now);
         resync_lost_peers(i, now);
         if (i.raft->is_leader()) {
             repair_members(i);
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -14,6 +14,7 @@
 #include "instance.h"
 #include "placement/moves.h"
 #include "quarantine/quarantine.h"
+#include "ratelimit/permits.h"
 #include "registry/registry.h"
 #include "watcher.h"
 
@@ -67,6 +68,8 @@
     // What gateways reported of crashes; passed on to all gateways.
     quarantine::table crashes;
     bool crash_update_scheduled = false;
+    // Used while this instance leads.
+    ratelimit::ledger permits;
     // The latest report of each gateway, by name.
     std::map<std::string, demand_record> demand;
     deployment_history history;
