Gateway: send an upstream no more than the limit that it states

What callers saw: an upstream in need got far more requests than it had said it takes, from all gateways together.

Cause: no gateway read the statement, and none can see the others' sends.

Change: each first send, retry and send to a successor needs a permit of the leading control instance while the upstream states a limit. Without one it goes to another upstream; if there is none, it waits for its turn up to a quarter of its time, else it is refused at once with the time to come back. While no instance leads, nothing is sent to such an upstream for a second, then each gateway paces by its own share. An answer to a later request that states no limit ends it; limits heard elsewhere come with control's updates.

--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -52,11 +52,12 @@
     model_absent,
     adapter_blocked,
     paused,
+    rate_limited,
     ejected,
     tried
 };
 
-inline constexpr name_table<obstacle, 9> obstacle_names{{
+inline constexpr name_table<obstacle, 10> obstacle_names{{
     {obstacle::none, "none"},
     {obstacle::not_accepting, "not_accepting"},
     {obstacle::leaving, "leaving"},
@@ -64,6 +65,7 @@
     {obstacle::model_absent, "model_absent"},
     {obstacle::adapter_blocked, "adapter_blocked"},
     {obstacle::paused, "paused"},
+    {obstacle::rate_limited, "rate_limited"},
     {obstacle::ejected, "ejected"},
     {obstacle::tried, "tried"},
 }};
@@ -105,8 +107,8 @@
 [[nodiscard]] std::optional<choice> choose(const std::vector<upstream*>& all, const request_view& r,
                                            const choice_settings& s, time_point now,
                                            std::mt19937_64& rng);
-// If an upstream could serve the request but for a pause, and no other one can: the time until the
-// first pause ends. Empty otherwise.
+// If an upstream could serve the request but for a pause or its rate limit, and no other one can:
+// the time until the first of these ends. Empty otherwise.
 [[nodiscard]] std::optional<duration> time_until_resumption(const std::vector<upstream*>& all,
                                                             const request_view& r, time_point now);
 // Baseline for comparison: a uniformly random upstream among the eligible ones.
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "ratelimit/permits.h"
 
 namespace burdockdeck::dispatch {
 
@@ -92,6 +93,14 @@
     bool leaving = false;
     // Until this time it wants no requests from this gateway, as its refusals said.
     time_point paused_until{};
+    // The rate limit in its answers. Ends with the incarnation.
+    ratelimit::stated_limit limit;
+    // When an answer to this gateway last said something of a limit.
+    time_point limit_heard_at{};
+    // Until this time there is no permit for a request of this gateway.
+    time_point permits_denied_until{};
+    // Paces requests while no control instance grants permits.
+    ratelimit::bucket own_permits;
     // Announced time of shutdown; time_point::max() if none was announced.
     time_point leaves_at = time_point::max();
     time_point cold_until{};
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -126,6 +126,9 @@
     if (u.paused_until > now) {
         return obstacle::paused;
     }
+    if (u.permits_denied_until > now) {
+        return obstacle::rate_limited;
+    }
     return ejected(u, now) ? obstacle::ejected : obstacle::none;
 }
 
@@ -215,8 +218,9 @@
         if (o == obstacle::none || o == obstacle::ejected) {
             return std::nullopt;
         }
-        if (o == obstacle::paused) {
-            const duration left = u->paused_until - now;
+        if (o == obstacle::paused || o == obstacle::rate_limited) {
+            const duration left =
+                (o == obstacle::paused ? u->paused_until : u->permits_denied_until) - now;
             shortest = shortest ? std::min(*shortest, left) : left;
         }
     }
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -83,6 +83,11 @@
     std::map<std::string, dispatch::retry_budget> budgets;
     std::map<demand_key, model_counts> demand;
     dispatch::model_speeds speeds;
+    // The control instance that leads, and grants permits; null if none is known.
+    std::shared_ptr<rpc::control::Stub> leader;
+    // When it was last heard, and when it is to be asked again after it did not answer.
+    time_point leader_heard_at{};
+    time_point ask_leader_at{};
     // By address of a sidecar.
     std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
     // Timers of requests that wait for an upstream or for a newer deployment; cancelled whenever
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -10,6 +10,7 @@
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "send_permits.h"
 
 namespace burdockdeck::gateway {
 
@@ -158,7 +159,7 @@
         }
         const bool paused = pause_of_service(c, r, now).has_value();
         if (paused && r.last_failure.empty()) {
-            r.last_failure = "all upstreams ask for a pause";
+            r.last_failure = "all upstreams are paused or at their rate limit";
         }
         if (now - began >= max_wait || c.draining || !r.tried.empty() || paused) {
             break;
@@ -238,6 +239,20 @@
     co_return true;
 }
 
+// How long a request may wait for its turn at the chosen upstream. While others could take it, it
+// goes to them instead.
+duration max_permit_wait(core& c, const request_state& r, const dispatch::upstream& chosen,
+                         time_point now) {
+    constexpr double permit_wait_fraction = 0.25;
+    const dispatch::request_view v = make_request_view(c, r);
+    for (const dispatch::upstream* u : upstreams_of(c.view, r.service)) {
+        if (u != &chosen && dispatch::obstacle_to(*u, v, now) == dispatch::obstacle::none) {
+            return duration::zero();
+        }
+    }
+    return std::chrono::duration_cast<duration>(time_left(r, now) * permit_wait_fraction);
+}
+
 // True if another attempt may follow one that ended as `end`. The limits on attempts and retries do
 // not apply if that attempt ended before it sent the request: `sends_before` is the number of sends
 // before that attempt.
@@ -309,6 +324,14 @@
         if (!chosen) {
             break;
         }
+        if (prepared == nullptr && chosen->to->limit.per_second > 0) {
+            const dispatch::incarnation target = dispatch::incarnation_of(*chosen->to);
+            const duration max_wait = max_permit_wait(c, r, *chosen->to, runtime::boot_now());
+            if (!co_await acquire_permit(c, target, max_wait)) {
+                r.last_failure = "rate limit of the upstream " + target.id;
+                continue;
+            }
+        }
         if (prepared == nullptr && chosen->needs_adapter) {
             const dispatch::choice to = *chosen;
             caller.check_caller();
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -14,6 +14,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "send_permits.h"
 #include "session.h"
 #include "takeover.h"
 #include "upstream_notices.h"
@@ -209,6 +210,7 @@
         }
         c.view.gateways = std::max(1U, update.gateways());
         merge_crash_news(c, update.crash_news(), now);
+        apply_limits(c, update, now);
         if (changed) {
             view_changed();
         }
@@ -238,6 +240,7 @@
             counts.in_flight = in_flight;
         }
         add_leaving(report, gateway_core.view);
+        add_limits(report, gateway_core.view, runtime::boot_now());
         return report;
     }
 
@@ -348,6 +351,12 @@
                 self->gateway_core.traffic.post([self, version, requested_at] {
                     self->handle_confirmation(version, requested_at);
                 });
+            },
+            [self](std::shared_ptr<rpc::control::Stub> leader) {
+                self->gateway_core.traffic.post([self, leader = std::move(leader)] {
+                    self->gateway_core.leader = leader;
+                    self->gateway_core.ask_leader_at = {};
+                });
             }});
     c.request_confirmation = [self] {
         self->gateway_core.control.post([self] { self->control->request_confirmation(); });
--- a/libs/gateway/src/site_client.cpp
+++ b/libs/gateway/src/site_client.cpp
@@ -81,6 +81,8 @@
     duration backoff = initial_backoff;
     bool connected = false;
     bool leading = false;
+    // The end of the last time without `leading`.
+    time_point leading_since{};
     // The revision of `shared_crashes` that it has, and whether a report to it is under way.
     std::uint64_t reported_crashes = 0;
     bool reporting_crashes = false;
@@ -108,6 +110,7 @@
     std::optional<time_point> confirmation_deadline;
     // Updates received before the first one from an instance that is up to date.
     std::vector<rpc::site_update> deferred_updates;
+    std::shared_ptr<rpc::control::Stub> leader;
     bool stopped = false;
     std::mt19937_64 rng{std::random_device{}()};
 
@@ -154,7 +157,11 @@
         const time_point now = runtime::boot_now();
         c.last_update_at = now;
         c.backoff = initial_backoff;
+        if (update.leading() && !c.leading) {
+            c.leading_since = now;
+        }
         c.leading = update.leading();
+        find_leader();
         c.version = update.version();
         if (!c.connected) {
             c.connected = true;
@@ -180,6 +187,22 @@
         fetch_if_needed(now);
     }
 
+    // A deposed leader may believe for some time that it leads; the one that began last does.
+    void find_leader() {
+        const control_instance* latest = nullptr;
+        for (const auto& [address, c] : instances) {
+            const bool leads = c.leading && c.stub != nullptr;
+            if (leads && (latest == nullptr || c.leading_since > latest->leading_since)) {
+                latest = &c;
+            }
+        }
+        const std::shared_ptr<rpc::control::Stub> found = latest ? latest->stub : nullptr;
+        if (found != leader) {
+            leader = found;
+            handlers.leader_changed(leader);
+        }
+    }
+
     [[nodiscard]] std::vector<reported_version> reported_versions() const {
         std::vector<reported_version> out;
         for (const auto& [address, c] : instances) {
@@ -284,6 +307,7 @@
         }
         c.stub.reset();
         c.channel.reset();
+        find_leader();
         std::uniform_real_distribution<double> jitter(0.5, 1.0);
         c.retry_at =
             runtime::boot_now() + std::chrono::duration_cast<duration>(c.backoff * jitter(rng));
--- a/libs/gateway/src/site_client.h
+++ b/libs/gateway/src/site_client.h
@@ -29,6 +29,9 @@
         // or version 0 if no instance confirmed one in time. A newer one was passed to `deployed`
         // before.
         std::function<void(std::uint64_t version, time_point requested_at)> confirmed;
+        // Another instance leads, or none is known any more (null). Its calls may be made from any
+        // thread.
+        std::function<void(std::shared_ptr<rpc::control::Stub>)> leader_changed;
     };
 
     site_client(runtime::loop& control_loop, const gateway_settings& settings,
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -12,6 +12,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "send_permits.h"
 #include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
@@ -133,6 +134,12 @@
 // withdrawn or taken if it is no longer the successor of `r`.
 asio::awaitable<void> run_successor(core& c, std::shared_ptr<request_state> r,
                                     std::shared_ptr<successor> s) {
+    if (!co_await acquire_permit(c, s->target, duration::zero())) {
+        if (r->successor == s) {
+            r->successor.reset();
+        }
+        co_return;
+    }
     std::string failure;
     connection_ptr connection =
         co_await acquire_connection(c, *r, s->target.id, s->target.address, failure);
--- a/libs/gateway/src/upstream_notices.cpp
+++ b/libs/gateway/src/upstream_notices.cpp
@@ -5,6 +5,7 @@
 #include "dispatch/choice.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "send_permits.h"
 
 namespace burdockdeck::gateway {
 
@@ -26,7 +27,8 @@
     }
 }
 
-void apply_notices(core& c, const dispatch::incarnation& from, const answer_facts& facts) {
+void apply_notices(core& c, const dispatch::incarnation& from, const answer_facts& facts,
+                   time_point sent_at) {
     if (!facts.invalid_header.empty()) {
         log_event(severity::info, event::answer_header_invalid,
                   {{"upstream", from.id}, {"header", facts.invalid_header}});
@@ -41,6 +43,7 @@
     if (facts.pause) {
         pause_upstream(found->second, *facts.pause, runtime::boot_now());
     }
+    record_limit(found->second, facts, sent_at, runtime::boot_now());
 }
 
 }  // namespace
@@ -80,8 +83,9 @@
 }
 
 std::function<void(const answer_facts&)> notice_observer(core& c, dispatch::incarnation from) {
-    return
-        [&c, from = std::move(from)](const answer_facts& facts) { apply_notices(c, from, facts); };
+    return [&c, from = std::move(from), sent_at = runtime::boot_now()](const answer_facts& facts) {
+        apply_notices(c, from, facts, sent_at);
+    };
 }
 
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/src/upstream_notices.h
+++ b/libs/gateway/src/upstream_notices.h
@@ -19,8 +19,8 @@
 
 // Why a request that was chosen for this upstream is not to be sent to it now; empty if it may be.
 [[nodiscard]] std::string notice_against(const core& c, const std::string& id);
-// For an exchange with the upstream `from`: applies the notices of each answer to the view, unless
-// another incarnation has taken its place.
+// For an exchange with the upstream `from` that begins now: applies the notices of each answer to
+// the view, unless another incarnation has taken its place.
 [[nodiscard]] std::function<void(const answer_facts&)> notice_observer(core& c,
                                                                        dispatch::incarnation from);
 
