Watch of a caller's close: do not keep the connection alive

Cause: a watch held the connection that held the watch, so that a gateway destroyed in the middle of a request never closed its connections; test_stop waited for that without end.

Change: only waits that are under way keep the connection, as before; they end with the loop.

--- a/libs/runtime/include/runtime/peer_watch.h
+++ b/libs/runtime/include/runtime/peer_watch.h
@@ -16,7 +16,7 @@
 // Invariant: the handler is called at most once, and not after `stop`.
 class peer_watch : public std::enable_shared_from_this<peer_watch> {
 public:
-    // `owner` keeps `socket` alive for as long as the watch uses it.
+    // Pending waits keep `owner` alive, and it keeps `socket` alive. It may own the watch.
     [[nodiscard]] static std::shared_ptr<peer_watch> start(boost::asio::ip::tcp::socket& socket,
                                                            std::shared_ptr<void> owner,
                                                            std::function<void()> on_closed);
@@ -28,14 +28,11 @@
     void stop();
 
 private:
-    peer_watch(boost::asio::ip::tcp::socket& socket, std::shared_ptr<void> owner,
-               std::function<void()> on_closed);
-    void wait_until_readable();
-    void wait_for_next_check();
-    void end();
+    peer_watch(boost::asio::ip::tcp::socket& socket, std::function<void()> on_closed);
+    void wait_until_readable(std::shared_ptr<void> owner);
+    void wait_for_next_check(std::shared_ptr<void> owner);
 
     boost::asio::ip::tcp::socket& socket_;
-    std::shared_ptr<void> owner_;
     std::function<void()> on_closed_;
     boost::asio::steady_timer timer_;
 };
--- a/libs/runtime/src/peer_watch.cpp
+++ b/libs/runtime/src/peer_watch.cpp
@@ -33,38 +33,33 @@
 
 std::shared_ptr<peer_watch> peer_watch::start(tcp::socket& socket, std::shared_ptr<void> owner,
                                               std::function<void()> on_closed) {
-    const std::shared_ptr<peer_watch> w(
-        new peer_watch(socket, std::move(owner), std::move(on_closed)));
-    w->wait_until_readable();
+    const std::shared_ptr<peer_watch> w(new peer_watch(socket, std::move(on_closed)));
+    w->wait_until_readable(std::move(owner));
     return w;
 }
 
-peer_watch::peer_watch(tcp::socket& socket, std::shared_ptr<void> owner,
-                       std::function<void()> on_closed)
-    : socket_(socket),
-      owner_(std::move(owner)),
-      on_closed_(std::move(on_closed)),
-      timer_(socket.get_executor()) {}
+peer_watch::peer_watch(tcp::socket& socket, std::function<void()> on_closed)
+    : socket_(socket), on_closed_(std::move(on_closed)), timer_(socket.get_executor()) {}
 
-void peer_watch::wait_until_readable() {
+void peer_watch::wait_until_readable(std::shared_ptr<void> owner) {
     socket_.async_wait(tcp::socket::wait_read,
-                       [self = shared_from_this()](const boost::system::error_code& failed) {
+                       [self = shared_from_this(), owner](const boost::system::error_code& failed) {
                            if (failed != asio::error::operation_aborted) {
                                self->check();
-                               self->wait_for_next_check();
+                               self->wait_for_next_check(owner);
                            }
                        });
 }
 
-void peer_watch::wait_for_next_check() {
+void peer_watch::wait_for_next_check(std::shared_ptr<void> owner) {
     if (!on_closed_) {
         return;
     }
     timer_.expires_after(poll_interval);
-    timer_.async_wait([self = shared_from_this()](const boost::system::error_code& failed) {
+    timer_.async_wait([self = shared_from_this(), owner](const boost::system::error_code& failed) {
         if (!failed) {
             self->check();
-            self->wait_for_next_check();
+            self->wait_for_next_check(owner);
         }
     });
 }
@@ -74,24 +69,16 @@
         return;
     }
     const std::function<void()> on_closed = std::move(on_closed_);
-    const std::shared_ptr<void> owner = owner_;
-    end();
+    on_closed_ = nullptr;
+    timer_.cancel();
     on_closed();
 }
 
 void peer_watch::stop() {
-    if (owner_ == nullptr) {
-        return;
-    }
-    boost::system::error_code ignored;
-    socket_.cancel(ignored);
-    end();
-}
-
-void peer_watch::end() {
     on_closed_ = nullptr;
     timer_.cancel();
-    owner_.reset();
+    boost::system::error_code ignored;
+    socket_.cancel(ignored);
 }
 
 }  // namespace burdockdeck::runtime
