Gateway: an upstream's address that cannot be parsed ends no process

What operators of similar systems saw: one odd entry in the list of replicas (nested deeply, a number too large, a port out of range) ended the machines that read the list, again and again.

Here, control refuses such announcements with 400, and JSON is parsed with a bound on its depth. But announcements that other control instances relay, also of an older version, are not checked again, and a gateway that connected to such an address ended: make_address throws, and an exception that leaves a coroutine ends the process.

Evidence: the new case ended with SIGABRT before; six odd addresses are now connection failures of that upstream alone, and another one serves.

--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -129,9 +129,13 @@
 asio::awaitable<result<connection_ptr, connect_error>> connect(asio::io_context& context,
                                                                settings::endpoint to,
                                                                duration timeout) {
+    boost::system::error_code invalid;
+    const tcp::endpoint endpoint(asio::ip::make_address(to.ip, invalid), to.port);
+    if (invalid) {
+        co_return connect_error{"`" + to.ip + "` is not an IP address"};
+    }
     auto c = std::make_shared<upstream_connection>(context);
     c->stream.expires_after(timeout);
-    const tcp::endpoint endpoint(asio::ip::make_address(to.ip), to.port);
     const auto [failed] =
         co_await c->stream.async_connect(endpoint, asio::as_tuple(asio::use_awaitable));
     if (failed) {
--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -321,3 +321,27 @@
         CHECK(upstreams.received().size() == 1);
     }
 }
+
+// Guards against a process that ends because one upstream's address cannot be parsed.
+TEST_CASE("an upstream without a valid address is not reached, and others are") {
+    const scripted_answer served{
+        "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok"};
+    for (const char* address : {"", "nonsense", "10.0.0.1", "10.0.0.1:99999", "[::1", ":80"}) {
+        CAPTURE(address);
+        const scripted_upstreams upstreams(1, {served});
+        gateway_under_test g(upstreams.ports(), repeatability::idempotent);
+        g.run([&](gateway::core& c) {
+            dispatch::upstream u;
+            u.id = std::string("odd at ") + address;
+            u.service = "orders";
+            u.address = address;
+            u.slots = 6;
+            c.view.upstreams.emplace(u.id, u);
+            // Makes the gateway try the odd one first.
+            for (auto& [id, other] : c.view.upstreams) {
+                other.health.errors = other.address.starts_with("127.") ? 1 : 0;
+            }
+        });
+        CHECK(g.call("first").starts_with("HTTP/1.1 200"));
+    }
+}
