Gateway: answer what is open when the grace time ends

What operators of similar systems saw: in a planned stop, requests that came late were taken, passed on, and cut without an answer at the end of the grace time, among them some that may not be repeated.

Here, the check of late requests looked only at the tokens of a stream: a call was taken until 2.2 s after the signal whatever its route's timeout. And what was still open 0.4 s before the end of the grace time was cut when the process exited.

Change: a call is refused with 503 (not sent, another gateway can take it) if it may take longer than what is left of the grace time. At the end, requests of which the caller has nothing yet get 502 or, if they were not sent, 503; begun streams are still cut, as the grace time demands.

Tests: the decision for a call with a long timeout; requests of all three kinds are answered and sent to no other upstream.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -405,7 +405,7 @@
 }
 
 bool may_send_again(core& c, const request_state& r) {
-    return is_repeatable(r) && r.tried.size() < r.route.attempt_limit &&
+    return !c.ending && is_repeatable(r) && r.tried.size() < r.route.attempt_limit &&
            dispatch::may_retry(c.budgets[r.service], c.settings.budget, c.view.gateways,
                                runtime::boot_now());
 }
@@ -478,6 +478,10 @@
             return_unused(c.pools[id], connection);
             co_return attempt_end::finished;
         }
+        if (c.ending) {
+            r.last_failure = "this gateway is shutting down";
+            co_return attempt_end::not_run;
+        }
         if (const std::string notice = notice_against(c, id); !notice.empty()) {
             // It arrived while the request waited for the connection.
             return_unused(c.pools[id], connection);
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -106,6 +106,8 @@
     std::function<void()> request_confirmation;
     bool confirmation_pending = false;
     time_point draining_since{};
+    // True once the grace time is over; no request is sent from then on.
+    bool ending = false;
     // By how much the last timer of the traffic loop was late; what arrives waits as long.
     duration loop_lag{};
     // Also read by the loop that answers readiness checks.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -257,7 +257,7 @@
 // not apply if that attempt ended before it sent the request: `sends_before` is the number of sends
 // before that attempt.
 bool may_try_again(core& c, const request_state& r, attempt_end end, std::size_t sends_before) {
-    if (end == attempt_end::unknown && !is_repeatable(r)) {
+    if (c.ending || (end == attempt_end::unknown && !is_repeatable(r))) {
         return false;
     }
     if (r.tried.size() == sends_before) {
@@ -448,8 +448,8 @@
         co_return;
     }
     const duration since_stop = r->request.arrived - c.draining_since;
-    if (c.draining &&
-        may_outlast_drain(since_stop, c.settings.grace, r->facts.needs.output_tokens)) {
+    if (c.draining && may_outlast_drain(since_stop, c.settings.grace, r->facts.needs.output_tokens,
+                                        r->finish_by - r->request.arrived)) {
         // The request has not been sent to any upstream, so another gateway can take it.
         std::string reason = "this gateway is shutting down";
         co_await refuse(c, caller, *r, unavailable, std::move(reason), retry_after_draining);
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -9,6 +9,7 @@
 #include "answer_cut.h"
 #include "beacon_listener.h"
 #include "core.h"
+#include "drain.h"
 #include "quarantine.h"
 #include "request.h"
 #include "runtime/clock.h"
@@ -36,6 +37,9 @@
 constexpr duration removal_delay = std::chrono::milliseconds(2600);
 // Open requests are aborted this long before the grace time ends.
 constexpr duration grace_margin = std::chrono::milliseconds(400);
+// Time to write the errors for requests that are given up then.
+constexpr duration last_answers_time = std::chrono::milliseconds(150);
+constexpr duration last_answers_check_interval = std::chrono::milliseconds(10);
 constexpr duration drain_check_interval = std::chrono::milliseconds(50);
 constexpr duration accept_retry_delay = std::chrono::milliseconds(20);
 
@@ -280,6 +284,11 @@
             }
             co_await runtime::sleep_for(drain_check_interval);
         }
+        end_unanswered_requests(c, runtime::boot_now());
+        const time_point exit_at = runtime::boot_now() + last_answers_time;
+        while (c.active_requests > 0 && runtime::boot_now() < exit_at) {
+            co_await runtime::sleep_for(last_answers_check_interval);
+        }
         log_open_requests(c, runtime::boot_now());
         log_event(severity::info, event::draining,
                   {{"step", "closing"}, {"in_hand", c.active_requests}});
--- a/libs/gateway/tests/test_draining.cpp
+++ b/libs/gateway/tests/test_draining.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/read.hpp>
 
+#include "drain.h"
 #include "fixture.h"
 
 using namespace burdockdeck;
@@ -101,6 +102,26 @@
     CHECK(read_all(caller).ends_with("ok"));
 }
 
+// Guards against requests whose connection is closed without an answer at the end of the grace
+// time.
+TEST_CASE("a request that is open when the grace time ends is answered with an error") {
+    for (const auto kind :
+         {deployment::repeatability::idempotent, deployment::repeatability::non_idempotent,
+          deployment::repeatability::streaming}) {
+        const scripted_upstream u({{std::chrono::seconds(5), ok_answer}});
+        const scripted_upstream other({{std::chrono::seconds(5), ok_answer}});
+        fixture f(kind, "");
+        f.add(make_upstream("u1", u.address(), ""));
+        f.add(make_upstream("u2", other.address(), ""));
+        const std::string answer = f.answer([&] {
+            std::this_thread::sleep_for(milliseconds(200));
+            run_on_traffic_loop(*f.c, [&] { end_unanswered_requests(*f.c, runtime::boot_now()); });
+        });
+        CHECK_MESSAGE(answer.starts_with("HTTP/1.1 502"), answer);
+        CHECK(u.requests() + other.requests() == 1);
+    }
+}
+
 // Guards against a begun answer whose connection fails before the caller's patience ends.
 TEST_CASE("the kernel's limit on silence follows the caller's patience while an answer is read") {
     asio::io_context context;
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -149,12 +149,15 @@
 TEST_CASE("a draining gateway accepts only requests that end within the grace time") {
     const duration grace = std::chrono::seconds(8);
     const duration second = std::chrono::seconds(1);
+    const duration timeout = 2 * second;
     // A stream of 292 tokens took 6.4 s at an engine with long prompts and was aborted at the end
     // of the grace time.
-    CHECK(may_outlast_drain(second, grace, 292));
-    CHECK_FALSE(may_outlast_drain(second, grace, 52));
-    CHECK_FALSE(may_outlast_drain(second, grace, 0));
-    CHECK(may_outlast_drain(3 * second, grace, 0));
+    CHECK(may_outlast_drain(second, grace, 292, timeout));
+    CHECK_FALSE(may_outlast_drain(second, grace, 52, timeout));
+    CHECK_FALSE(may_outlast_drain(second, grace, 0, timeout));
+    CHECK(may_outlast_drain(3 * second, grace, 0, timeout));
+    // A call that may take all of its long timeout ends after the grace time.
+    CHECK(may_outlast_drain(second, grace, 0, 6 * second));
 }
 
 TEST_CASE("a beacon applies only to the incarnation at its address") {
