--- a/libs/ratelimit/include/ratelimit/permits.h
+++ b/libs/ratelimit/include/ratelimit/permits.h
@@ -3,11 +3,11 @@
 // gateway that reaches none falls back to a share of its own.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "base/time.h"
 
@@ -21,7 +21,10 @@
     std::string upstream;
     std::uint64_t born_ms = 0;
 
-    auto operator<=>(const target&) const = default;
+    bool operator==(const target&) const = default;
+    bool operator<(const target& other) const {
+        return std::tie(upstream, born_ms) < std::tie(other.upstream, other.born_ms);
+    }
 };
 
 struct stated_limit {
--- a/libs/runtime/src/peer_watch.cpp
+++ b/libs/runtime/src/peer_watch.cpp
@@ -33,7 +33,7 @@
 
 std::shared_ptr<peer_watch> peer_watch::start(tcp::socket& socket, std::shared_ptr<void> owner,
                                               std::function<void()> on_closed) {
-    const std::shared_ptr<peer_watch> w(new peer_watch(socket, std::move(on_closed)));
+    std::shared_ptr<peer_watch> w(new peer_watch(socket, std::move(on_closed)));
     w->wait_until_readable(std::move(owner));
     return w;
 }
