Control: a refused change of the deployment does not make the next ones fail

Cause: the leader logs each change as a patch to the previous change in its log, on the assumption that every logged change takes effect. If one is refused when it is applied, the tail still names it: the same version sent again is taken for known and logged without text, a higher version is logged as a patch to a text that was never in force. All of them are refused for as long as the instance leads.

Evidence: control.deployment_log, new case, fails without the change (the function that records the refusal did not exist; without its effect each of the three following versions is refused).

Change: a refused change marks the tail as uncertain, and the next change carries its whole text, which needs no base. The refusal is logged as an error with version, index, term and reason; before, nothing told it from a lost leader.

--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -487,6 +487,15 @@
         command.ParseFromString(entry.data());
         reply = catalog::apply(state_, command);
         metrics_.count("burdockdeck_commands_applied_total");
+        if (command.has_replace_deployment() && reply.status() == schema::status_refused) {
+            record_refused_change(deployment_tail_);
+            log_event(severity::error, event::deployment_refused,
+                      {{"version", command.replace_deployment().next().version()},
+                       {"index", entry.index()},
+                       {"term", entry.term()},
+                       {"version_here", state_.deployment().version()},
+                       {"reason", reply.message()}});
+        }
     }
     const auto waiting = pending_submits_.find(entry.index());
     if (waiting == pending_submits_.end()) {
--- a/libs/control/tests/test_deployment_log.cpp
+++ b/libs/control/tests/test_deployment_log.cpp
@@ -110,6 +110,25 @@
     CHECK(s.deployment().source() == "three");
 }
 
+// Guards against changes that are refused for as long as one instance leads.
+TEST_CASE("a change that was refused does not make the following ones fail") {
+    schema::catalog_state s;
+    (void)catalog::apply(s, change_to(1, long_text(0)));
+    const schema::deployment_record outdated = s.deployment();
+    (void)catalog::apply(s, change_to(2, long_text(1)));
+    deployment_tail tail;
+    schema::command refused = change_to(3, long_text(2));
+    encode_as_patch(refused, tail, outdated, 1);
+    REQUIRE(catalog::apply(s, refused).status() == schema::status_refused);
+    record_refused_change(tail);
+    for (std::uint64_t version = 3; version <= 5; ++version) {
+        schema::command next = change_to(version, long_text(static_cast<unsigned>(version)));
+        encode_as_patch(next, tail, s.deployment(), 1);
+        CHECK(catalog::apply(s, next).status() == schema::status_done);
+        CHECK(s.deployment().source() == long_text(static_cast<unsigned>(version)));
+    }
+}
+
 TEST_CASE("patches lead from any version that a gateway has to the newest text") {
     deployment_history h;
     CHECK(patch_for(h, 0).version() == 0);
