Control: a new leader takes changes only once it has applied its log

Cause: entries that a new leader commits are delivered by one task of the control loop and applied by a later one. `is_leader` went by the delivery, against its own description. A change that stood between the two in the loop's queue was encoded as a patch to the deployment before the last one of the former leader, and was refused when it was applied. Tasks queue up while a round writes to a disk, the longer the slower that is; an election and changes that are sent again at once complete the pattern.

Change: an instance counts as leader once it has applied its first entry.

--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -71,7 +71,9 @@
 }
 
 bool raft_host::is_leader() const {
-    return node_ && consensus::ready_to_lead(*node_) && !storage_failed_ && !stopped_;
+    // Committed entries are delivered by one task of the loop and applied by a later one.
+    return node_ && consensus::ready_to_lead(*node_) && applied_ >= node_->term_start &&
+           !storage_failed_ && !stopped_;
 }
 
 bool raft_host::isolated() const {
