Entry: send no work whose caller's close has arrived

Cause: an entry asked for the caller only while it waited for a destination, and only what the loop had reported. A request that was read together with its caller's close, behind a loop that lags, was sent to an agent and run.

Change: `http_exchange::caller_left` asks the kernel as well, and an entry asks before each attempt, for all kinds of work: an attempt that has not been sent has no outcome to record. The agent needs no such question: its caller is an entry, which cancels.

--- a/libs/entry/src/dispatcher.cpp
+++ b/libs/entry/src/dispatcher.cpp
@@ -70,6 +70,10 @@
         return *caller_left_ && work_.idempotent;
     }
 
+    // For all kinds of work: an attempt that has not been sent has no outcome to record.
+    [[nodiscard]] bool caller_left_before_send() const {
+        return *caller_left_ || exchange_.caller_left();
+    }
     [[nodiscard]] bool stream_started() const {
         return stream_started_;
     }
@@ -365,6 +369,11 @@
             co_await runtime::sleep_for(std::min(left, pause));
             continue;
         }
+        if (sink.caller_left_before_send()) {
+            out.caller_left = true;
+            out.message = "the caller disconnected before the request was sent";
+            break;
+        }
         attempt_plan plan;
         plan.target_agent = *to;
         plan.attempt = runtime::random_hex(24);
--- a/libs/runtime/include/runtime/http.h
+++ b/libs/runtime/include/runtime/http.h
@@ -44,8 +44,8 @@
 public:
     virtual ~http_exchange() = default;
     [[nodiscard]] virtual const http_request& request() const = 0;
-    // True once the caller has closed its connection.
-    [[nodiscard]] virtual bool caller_left() const = 0;
+    // True once the caller has closed its connection, also if the loop has not reported it yet.
+    [[nodiscard]] virtual bool caller_left() = 0;
     // Sends a complete answer. False if it could not be written to the connection.
     virtual boost::asio::awaitable<bool> respond(http_response response) = 0;
     // Sends status and headers of an answer with a chunked body.
--- a/libs/runtime/src/http_server.cpp
+++ b/libs/runtime/src/http_server.cpp
@@ -56,8 +56,8 @@
         return request_;
     }
 
-    [[nodiscard]] bool caller_left() const override {
-        return disconnected_;
+    [[nodiscard]] bool caller_left() override {
+        return disconnected_ || is_closed_by_peer(stream_.socket());
     }
 
     asio::awaitable<bool> respond(http_response r) override {
--- a/libs/runtime/tests/test_runtime.cpp
+++ b/libs/runtime/tests/test_runtime.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
+#include <thread>
 
 #include "runtime/http.h"
 #include "runtime/log.h"
@@ -26,6 +27,9 @@
     return acceptor.local_endpoint().port();
 }
 
+// Longer than a caller needs to connect, send and close.
+constexpr std::chrono::milliseconds stall{300};
+
 asio::awaitable<void> answer(http_exchange& e) {
     http_response head;
     if (e.request().path() == "/stream") {
@@ -134,6 +138,33 @@
     CHECK(large.find("not_run") != std::string::npos);
 }
 
+// Guards against work that is begun for callers that left while the process stood still.
+TEST_CASE("a caller's close is known before the loop has reported it") {
+    loop_pool loops("test", 1);
+    const settings::endpoint address{"127.0.0.1", free_port()};
+    std::promise<bool> before;
+    std::promise<bool> after;
+    auto server = http_server::listen(
+        address, loops, {}, [&](http_exchange& e) -> asio::awaitable<void> {
+            e.watch_caller([] {});
+            before.set_value(e.caller_left());
+            std::this_thread::sleep_for(stall);
+            after.set_value(e.caller_left());
+            co_return;
+        });
+    REQUIRE(succeeded(server));
+    asio::io_context context;
+    asio::ip::tcp::socket caller(context);
+    caller.connect({asio::ip::make_address(address.ip), address.port});
+    // The first bytes of a next request stand before the close.
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\nGET")));
+    CHECK(!before.get_future().get());
+    caller.close();
+    CHECK(after.get_future().get());
+    value(server)->stop_accepting();
+    loops.stop();
+}
+
 TEST_CASE("a listen error names the address, and a refused connection counts as not sent") {
     loop_pool loops("test", 1);
     const settings::endpoint address{"127.0.0.1", free_port()};
