Planner: count a stated rate limit as lost capacity

Cause: the planner divided demand evenly over a model's copies, whatever rate their engines took.

Evidence: placement.moves, two new cases: a busy model with copies at two limited engines got no copy elsewhere while capacity was ignored, and a copy at a limited engine stood for one at a whole engine. They pass now, and so do the cases before.

Change: an engine's capacity is the share of its usual rate that its stated limit allows, by the mean processing time of recent requests. Demand is divided in proportion to it, a utilization counts by it, and a copy may be unloaded only if the others' capacity suffices. With capacity 1 everywhere nothing changes.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -44,6 +44,12 @@
 // `prior_per_copy` engines of demand.
 constexpr duration prior_duration = std::chrono::seconds(4);
 constexpr double prior_per_copy = 0.18;
+// Factor by which earlier requests count less in each round.
+constexpr double request_cost_decay = 0.9;
+// Processing time of a request before any has been reported.
+constexpr double default_request_ms = 80;
+// An engine that takes hardly any requests still holds models that others may lack.
+constexpr double min_capacity = 0.02;
 // Demand below this number of engines counts as zero.
 constexpr double min_demand = 0.003;
 
@@ -91,8 +97,34 @@
     return out;
 }
 
+void decay(request_costs& c) {
+    c.engine_ms *= request_cost_decay;
+    c.requests *= request_cost_decay;
+}
+
+// Share of an engine's usual rate of requests that an upstream takes, by the limit that it states.
+double capacity_of(const site_state& site, const placement::engine_state& e,
+                   const request_costs& costs) {
+    const auto stated = site.permits.limits.find({e.id, e.born_ms});
+    if (stated == site.permits.limits.end() || stated->second.per_second <= 0) {
+        return 1;
+    }
+    const double request_ms =
+        costs.requests > 0 ? costs.engine_ms / costs.requests : default_request_ms;
+    return std::clamp(stated->second.per_second * request_ms / 1000, min_capacity, 1.0);
+}
+
+void limit_capacities(const site_state& site, placement::fleet_state& f,
+                      const request_costs& costs) {
+    for (placement::engine_state& e : f.engines) {
+        e.capacity = capacity_of(site, e, costs);
+    }
+}
+
 void update_demand(site_state& site, time_point now) {
     std::map<demand_key, double> offered;
+    decay(site.short_prompt_costs);
+    decay(site.long_prompt_costs);
     std::set<demand_key> unplaced;
     for (const auto& [gateway, record] : site.demand) {
         if (now - record.received_at > report_max_age) {
@@ -112,6 +144,10 @@
                                output_token_cost * static_cast<double>(load.output_tokens())) /
                               speed;
             offered[key] += ms / window;
+            request_costs& costs =
+                load.long_prompts() ? site.long_prompt_costs : site.short_prompt_costs;
+            costs.engine_ms += ms;
+            costs.requests += load.arrivals();
             if (load.unplaced() > 0) {
                 unplaced.insert(key);
             }
@@ -210,6 +246,13 @@
         (short_prompt_addresses.contains(e.address) ? f.short_prompt_fleet : f.long_prompt_fleet)
             .engines.push_back(e);
     }
+    const request_costs& short_costs = i.site->short_prompt_costs;
+    const request_costs& long_costs = i.site->long_prompt_costs;
+    limit_capacities(*i.site, f.all,
+                     {short_costs.engine_ms + long_costs.engine_ms,
+                      short_costs.requests + long_costs.requests});
+    limit_capacities(*i.site, f.short_prompt_fleet, short_costs);
+    limit_capacities(*i.site, f.long_prompt_fleet, long_costs);
     for (const deployment::model_spec& m : service.engine.models) {
         for (placement::fleet_state* fleet :
              {&f.all, &f.short_prompt_fleet, &f.long_prompt_fleet}) {
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -43,6 +43,12 @@
     }
 };
 
+// Sums over recent requests; older ones count less and less.
+struct request_costs {
+    double engine_ms = 0;
+    double requests = 0;
+};
+
 struct demand_record {
     rpc::demand_report latest;
     time_point received_at{};
@@ -81,6 +87,9 @@
     std::map<demand_key, double> smoothed_demand;
     // Prompt tokens read per millisecond by model, as measured by gateways.
     std::map<std::string, double> speeds;
+    // Processing time of recent requests, for short prompts and for long ones.
+    request_costs short_prompt_costs;
+    request_costs long_prompt_costs;
     // Models that were requested while no engine held them.
     std::set<demand_key> unplaced;
     // When gateways first reported demand; the zero time until then.
--- a/libs/placement/include/placement/moves.h
+++ b/libs/placement/include/placement/moves.h
@@ -44,6 +44,9 @@
     std::uint64_t born_ms = 0;
     std::string failure_domain;
     bool accepting = true;
+    // Share of an engine's usual rate of requests that this one takes, above 0 and up to 1: less
+    // than 1 while it states a rate limit.
+    double capacity = 1;
     // Memory for model weights, excluding what adapters may use.
     double weights_capacity_mb = 0;
     std::set<std::string> models;
--- a/libs/placement/src/fill.cpp
+++ b/libs/placement/src/fill.cpp
@@ -21,13 +21,13 @@
 
 // Improvement of the objective by one more copy of `model`, before the cost of its load.
 double gain_of_copy(const plan_state& p, const std::string& model) {
-    const double engines = demand_of(p.f, model).engines;
-    const auto copies = static_cast<double>(copies_of(p, model));
-    const double after = (copies + 1) * cost_of(engines / (copies + 1));
-    if (copies == 0) {
+    if (copies_of(p, model) == 0) {
+        const double engines = demand_of(p.f, model).engines;
         return presence_value(p, model) > 0 ? presence_value(p, model) + cost_of(engines) : 0;
     }
-    return copies * cost_of(engines / copies) - after;
+    const double capacity = capacity_of(p, model);
+    return capacity * cost_of(utilization_from(p, model)) -
+           (capacity + 1) * cost_of(utilization_from(p, model, capacity + 1));
 }
 
 std::vector<std::size_t> empty_engines(const plan_state& p) {
@@ -88,7 +88,7 @@
         moves.push_back({e.id, move_kind::load, next.model, from_store,
                          "empty engine, gain " + std::to_string(next.gain)});
         note_load(p, *engine, next.model, from_store);
-        p.utilization[*engine] = demand_per_copy(p, next.model);
+        p.utilization[*engine] = utilization_from(p, next.model);
         wanted.push({gain_of_copy(p, next.model), next.model});
     }
     return moves;
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -24,7 +24,7 @@
 // Maximum number of moves per round. More would rely on changes that the first ones have not made
 // yet.
 constexpr std::size_t max_moves_per_round = 6;
-// Engines considered for one more copy of a model, the least utilized ones first. Limits the time
+// Engines considered for one more copy of a model, those with most spare capacity first. Limits the time
 // of a round to linear in the number of engines instead of quadratic.
 constexpr std::size_t max_engines_considered = 16;
 // Time without orders for an engine that refused one: about the duration of a load from its disk.
@@ -34,9 +34,10 @@
 // number of copies afterwards. Stores the resulting utilizations in `changed`.
 double redistribute(const plan_state& p, const std::string& model, std::size_t copies,
                     std::size_t engine, bool added, std::map<std::size_t, double>& changed) {
-    const double engines = demand_of(p.f, model).engines;
-    const double before = demand_per_copy(p, model);
-    const double after = copies == 0 ? 0 : engines / static_cast<double>(copies);
+    const double own_capacity = p.f.engines[engine].capacity;
+    const double capacity = capacity_of(p, model) + (added ? own_capacity : -own_capacity);
+    const double before = utilization_from(p, model);
+    const double after = copies == 0 ? 0 : utilization_from(p, model, capacity);
     double sum = 0;
     for (std::size_t i = 0; i < p.held.size(); ++i) {
         const bool holds = p.held[i].contains(model);
@@ -47,7 +48,7 @@
         const auto known = changed.find(i);
         const double old = known == changed.end() ? p.utilization[i] : known->second;
         const double updated = old - (holds ? before : 0) + (will_hold ? after : 0);
-        sum += cost_of(updated) - cost_of(old);
+        sum += p.f.engines[i].capacity * (cost_of(updated) - cost_of(old));
         changed[i] = updated;
     }
     return sum;
@@ -58,24 +59,20 @@
     return found != p.m.loaded_at.end() && p.now - found->second < p.s.min_residency;
 }
 
-// Copies that serve now and will still be held after the pending orders.
-std::size_t serving_copies(const plan_state& p, const std::string& model) {
-    std::size_t serving = 0;
-    for (std::size_t i = 0; i < p.held.size(); ++i) {
-        const engine_state& e = p.f.engines[i];
-        serving += e.accepting && e.models.contains(model) && p.held[i].contains(model) ? 1 : 0;
-    }
-    return serving;
-}
-
-// A copy of a model in demand may be unloaded only if the other serving copies can take its load.
-bool can_unload(const plan_state& p, const std::string& model) {
+// A copy of a model in demand may be unloaded only if the copies at other engines that serve now,
+// and will still be held after the pending orders, can take its load.
+bool can_unload(const plan_state& p, std::size_t engine, const std::string& model) {
     const double engines = demand_of(p.f, model).engines;
     if (engines <= idle_demand) {
         return true;
     }
-    const double remaining = static_cast<double>(serving_copies(p, model)) - 1;
-    return remaining >= 1 && engines / remaining <= max_demand_per_copy;
+    double remaining = 0;
+    for (std::size_t i = 0; i < p.held.size(); ++i) {
+        const engine_state& e = p.f.engines[i];
+        const bool serves = e.accepting && e.models.contains(model) && p.held[i].contains(model);
+        remaining += serves && i != engine ? e.capacity : 0;
+    }
+    return remaining > 0 && engines / remaining <= max_demand_per_copy;
 }
 
 struct candidate {
@@ -107,7 +104,7 @@
                                                   double needed) {
     std::vector<std::string> movable;
     for (const std::string& model : p.f.engines[engine].models) {
-        if (!recently_loaded(p, engine, model) && can_unload(p, model)) {
+        if (!recently_loaded(p, engine, model) && can_unload(p, engine, model)) {
             movable.push_back(model);
         }
     }
@@ -134,27 +131,29 @@
     }
 }
 
-// Engines that may get an order, in ascending order of utilization.
-std::vector<std::size_t> engines_by_utilization(const plan_state& p) {
+// Engines that may get an order, those with most spare capacity first.
+std::vector<std::size_t> engines_by_spare_capacity(const plan_state& p) {
     std::vector<std::size_t> out;
     for (std::size_t i = 0; i < p.held.size(); ++i) {
         if (!p.unavailable.contains(i)) {
             out.push_back(i);
         }
     }
-    std::stable_sort(out.begin(), out.end(), [&](std::size_t a, std::size_t b) {
-        return p.utilization[a] < p.utilization[b];
-    });
+    const auto spare = [&](std::size_t i) {
+        return p.f.engines[i].capacity * (1 - p.utilization[i]);
+    };
+    std::stable_sort(out.begin(), out.end(),
+                     [&](std::size_t a, std::size_t b) { return spare(a) > spare(b); });
     return out;
 }
 
 candidate best_candidate(const plan_state& p) {
     candidate best;
     const bool store_available = store_allows_load(p);
-    const std::vector<std::size_t> by_utilization = engines_by_utilization(p);
+    const std::vector<std::size_t> by_spare_capacity = engines_by_spare_capacity(p);
     for (const auto& [model, size] : p.f.models) {
         const bool wanted = copies_of(p, model) == 0 ? presence_value(p, model) > 0
-                                                     : demand_per_copy(p, model) > p.s.busy_share;
+                                                     : utilization_from(p, model) > p.s.busy_share;
         if (!wanted) {
             continue;
         }
@@ -163,7 +162,7 @@
         const bool wait_for_local_weights =
             copies_of(p, model) == 0 && fits_with_local_weights(p, model);
         std::size_t considered = 0;
-        for (const std::size_t i : by_utilization) {
+        for (const std::size_t i : by_spare_capacity) {
             const bool from_store = !p.f.engines[i].local_weights.contains(model);
             if (p.held[i].contains(model) ||
                 (from_store && (wait_for_local_weights || !store_available))) {
@@ -190,6 +189,7 @@
     for (const std::string& victim : c.victims) {
         (void)redistribute(p, victim, copies_of(p, victim) - 1, c.engine, false, changed);
         --p.copies[victim];
+        p.capacity[victim] -= p.f.engines[c.engine].capacity;
         p.held[c.engine].erase(victim);
     }
     (void)redistribute(p, c.model, copies_of(p, c.model) + 1, c.engine, true, changed);
--- a/libs/placement/src/plan_state.cpp
+++ b/libs/placement/src/plan_state.cpp
@@ -14,6 +14,8 @@
 // Above this utilization, requests queue at an engine whatever the load of the other engines.
 constexpr double queueing_utilization = 0.5;
 constexpr double queueing_weight = 3.0;
+// Lower bound for divisions, as a share of an engine.
+constexpr double min_capacity = 0.001;
 
 }  // namespace
 
@@ -27,10 +29,17 @@
     return found == f.demand.end() ? model_demand{} : found->second;
 }
 
-double demand_per_copy(const plan_state& p, const std::string& model) {
-    const auto found = p.copies.find(model);
-    const std::size_t copies = found == p.copies.end() ? 0 : found->second;
-    return copies == 0 ? 0 : demand_of(p.f, model).engines / static_cast<double>(copies);
+double utilization_from(const plan_state& p, const std::string& model, double capacity) {
+    return demand_of(p.f, model).engines / std::max(capacity, min_capacity);
+}
+
+double utilization_from(const plan_state& p, const std::string& model) {
+    return copies_of(p, model) == 0 ? 0 : utilization_from(p, model, capacity_of(p, model));
+}
+
+double capacity_of(const plan_state& p, const std::string& model) {
+    const auto found = p.capacity.find(model);
+    return found == p.capacity.end() ? 0 : found->second;
 }
 
 double cost_of(double utilization) {
@@ -49,7 +58,7 @@
 
 plan_state state_of(const fleet_state& f, const move_planner_state& m, const move_settings& s,
                     time_point now) {
-    plan_state p{f, m, s, now, {}, {}, {}, {}, 0, 0};
+    plan_state p{f, m, s, now, {}, {}, {}, {}, {}, 0, 0};
     for (std::size_t i = 0; i < f.engines.size(); ++i) {
         const engine_state& e = f.engines[i];
         std::set<std::string> held = e.models;
@@ -69,6 +78,7 @@
         if (e.accepting) {
             for (const std::string& model : held) {
                 ++p.copies[model];
+                p.capacity[model] += e.capacity;
             }
         } else {
             p.unavailable.insert(i);
@@ -79,7 +89,7 @@
     for (const auto& held : p.held) {
         double sum = 0;
         for (const std::string& model : held) {
-            sum += demand_per_copy(p, model);
+            sum += utilization_from(p, model);
         }
         p.utilization.push_back(sum);
     }
@@ -125,6 +135,7 @@
 
 void note_load(plan_state& p, std::size_t engine, const std::string& model, bool from_store) {
     ++p.copies[model];
+    p.capacity[model] += p.f.engines[engine].capacity;
     p.held[engine].insert(model);
     p.unavailable.insert(engine);
     p.store_loads_in_window += from_store ? 1 : 0;
--- a/libs/placement/src/plan_state.h
+++ b/libs/placement/src/plan_state.h
@@ -27,6 +27,9 @@
     time_point now;
     std::vector<std::set<std::string>> held;
     std::map<std::string, std::size_t> copies;
+    // Summed `engine_state::capacity` of each model's copies.
+    std::map<std::string, double> capacity;
+    // Demand as a share of the engine's capacity.
     std::vector<double> utilization;
     std::set<std::size_t> unavailable;
     std::uint32_t store_loads_in_window = 0;
@@ -41,8 +44,13 @@
 [[nodiscard]] double size_of(const fleet_state& f, const std::string& model);
 [[nodiscard]] model_demand demand_of(const fleet_state& f, const std::string& model);
 [[nodiscard]] std::size_t copies_of(const plan_state& p, const std::string& model);
-// Demand served by each copy of `model`, in engines.
-[[nodiscard]] double demand_per_copy(const plan_state& p, const std::string& model);
+// Utilization that the demand for `model` causes at each engine that holds it: requests go to the
+// copies in proportion to their engines' capacity.
+[[nodiscard]] double utilization_from(const plan_state& p, const std::string& model);
+// The same if the model's copies had `capacity` in sum.
+[[nodiscard]] double utilization_from(const plan_state& p, const std::string& model,
+                                      double capacity);
+[[nodiscard]] double capacity_of(const plan_state& p, const std::string& model);
 // Cost of an engine's utilization to its requests, in the objective that the planner minimizes.
 [[nodiscard]] double cost_of(double utilization);
 // Value of having at least one copy of `model`, in the unit of `cost_of`.
--- a/libs/placement/tests/test_moves.cpp
+++ b/libs/placement/tests/test_moves.cpp
@@ -131,6 +131,42 @@
     }
 }
 
+// Guards against requests that are refused although engines without a limit could serve them.
+TEST_CASE("a busy model whose engines state a low rate limit gets a copy elsewhere") {
+    simulated_fleet sim{fleet(4, 6), {}, {}, {}, {}, 0};
+    sim.f.engines[0].models = {"m0", "m1"};
+    sim.f.engines[1].models = {"m0", "m2"};
+    sim.f.engines[2].models = {"m3", "m4"};
+    sim.f.engines[3].models = {"m3", "m5"};
+    sim.f.demand["m0"] = {0.4, false};
+    sim.f.demand["m3"] = {0.4, false};
+    sim.run(start, std::chrono::seconds(10));
+    CHECK(sim.loads == 0);
+    sim.f.engines[0].capacity = 0.1;
+    sim.f.engines[1].capacity = 0.1;
+    sim.run(start + std::chrono::seconds(10), std::chrono::seconds(20));
+    const auto holds = [&](std::size_t engine) {
+        return sim.f.engines[engine].models.contains("m0");
+    };
+    CHECK((holds(2) || holds(3)));
+    for (const auto& [name, size] : sim.f.models) {
+        CHECK(sim.copies(name) >= 1);
+    }
+}
+
+// Guards against a model in demand that is left to engines with a low rate limit.
+TEST_CASE("a copy at an engine with a low rate limit does not replace one at a whole engine") {
+    simulated_fleet sim{fleet(2, 4), {}, {}, {}, {}, 0};
+    sim.f.engines[0].models = {"m0", "m1"};
+    sim.f.engines[1].models = {"m0", "m2"};
+    sim.f.engines[1].capacity = 0.1;
+    sim.f.demand["m0"] = {0.4, false};
+    sim.f.demand["m3"] = {0.1, true};
+    sim.run(start, std::chrono::seconds(20));
+    CHECK(sim.f.engines[0].models.contains("m0"));
+    CHECK(sim.copies("m3") >= 1);
+}
+
 TEST_CASE("a requested model without a copy is loaded although all engines are full") {
     simulated_fleet sim{fleet(2, 6), {}, {}, {}, {}, 0};
     sim.f.engines[0].models = {"m0", "m1"};
