--- a/libs/control/src/deployment_tail.h
+++ b/libs/control/src/deployment_tail.h
@@ -16,9 +16,10 @@
     bool uncertain = false;
 };
 
-// Replaces the text in `command` by a patch, unless the base of the patch is uncertain. The command must be the next one that changes the
-// deployment in the log of the leader of `term`, whose state holds `applied`. Preconditions:
-// `command` replaces the deployment, and the leader has applied all entries of earlier terms.
+// Replaces the text in `command` by a patch, unless the base of the patch is uncertain. The command
+// must be the next one that changes the deployment in the log of the leader of `term`, whose state
+// holds `applied`. Preconditions: `command` replaces the deployment, and the leader has applied all
+// entries of earlier terms.
 void encode_as_patch(schema::command& command, deployment_tail& tail,
                      const schema::deployment_record& applied, consensus::term_number term);
 // Records that an entry that changes the deployment was refused when it was applied. The next
--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -248,9 +248,9 @@
     }
     const request_costs& short_costs = i.site->short_prompt_costs;
     const request_costs& long_costs = i.site->long_prompt_costs;
-    limit_capacities(*i.site, f.all,
-                     {short_costs.engine_ms + long_costs.engine_ms,
-                      short_costs.requests + long_costs.requests});
+    limit_capacities(
+        *i.site, f.all,
+        {short_costs.engine_ms + long_costs.engine_ms, short_costs.requests + long_costs.requests});
     limit_capacities(*i.site, f.short_prompt_fleet, short_costs);
     limit_capacities(*i.site, f.long_prompt_fleet, long_costs);
     for (const deployment::model_spec& m : service.engine.models) {
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -24,8 +24,8 @@
 // Maximum number of moves per round. More would rely on changes that the first ones have not made
 // yet.
 constexpr std::size_t max_moves_per_round = 6;
-// Engines considered for one more copy of a model, those with most spare capacity first. Limits the time
-// of a round to linear in the number of engines instead of quadratic.
+// Engines considered for one more copy of a model, those with most spare capacity first. Limits the
+// time of a round to linear in the number of engines instead of quadratic.
 constexpr std::size_t max_engines_considered = 16;
 // Time without orders for an engine that refused one: about the duration of a load from its disk.
 constexpr duration refusal_backoff = std::chrono::milliseconds(900);
--- a/libs/runtime/tests/test_runtime.cpp
+++ b/libs/runtime/tests/test_runtime.cpp
@@ -144,8 +144,8 @@
     const settings::endpoint address{"127.0.0.1", free_port()};
     std::promise<bool> before;
     std::promise<bool> after;
-    auto server = http_server::listen(
-        address, loops, {}, [&](http_exchange& e) -> asio::awaitable<void> {
+    auto server =
+        http_server::listen(address, loops, {}, [&](http_exchange& e) -> asio::awaitable<void> {
             e.watch_caller([] {});
             before.set_value(e.caller_left());
             std::this_thread::sleep_for(stall);
