--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -71,7 +71,9 @@
 }
 
 bool raft_host::is_leader() const {
-    return node_ && consensus::ready_to_lead(*node_) && !storage_failed_ && !stopped_;
+    // Committed entries are delivered by one task of the loop and applied by a later one.
+    return node_ && consensus::ready_to_lead(*node_) && applied_ >= node_->term_start &&
+           !storage_failed_ && !stopped_;
 }
 
 bool raft_host::isolated() const {
@@ -487,6 +489,15 @@
         command.ParseFromString(entry.data());
         reply = catalog::apply(state_, command);
         metrics_.count("burdockdeck_commands_applied_total");
+        if (command.has_replace_deployment() && reply.status() == schema::status_refused) {
+            record_refused_change(deployment_tail_);
+            log_event(severity::error, event::deployment_refused,
+                      {{"version", command.replace_deployment().next().version()},
+                       {"index", entry.index()},
+                       {"term", entry.term()},
+                       {"version_here", state_.deployment().version()},
+                       {"reason", reply.message()}});
+        }
     }
     const auto waiting = pending_submits_.find(entry.index());
     if (waiting == pending_submits_.end()) {
