Planner: swaps as one plan, presence by the time of a return, missing models first

A model without demand was worth the same whether it returns from a host's disk or from the store; an unload and the load after it were two plans, so that a second engine could be emptied for the same model; copies of models in demand could not make room for a model that had none.

Now the return time counts in the value of presence, a load that needs unloads is reserved until it is ordered, and a missing model may take the place of any copy that another one backs up. The planner also tells when missing models are expected. Candidates are weighed over the engines that hold a model instead of over all.

--- a/libs/placement/include/placement/moves.h
+++ b/libs/placement/include/placement/moves.h
@@ -32,8 +32,12 @@
     duration min_residency = std::chrono::seconds(6);
 };
 
-struct model_size {
+// Size of a model's weights, and the time to load them from each place.
+struct model_profile {
     double weights_mb = 0;
+    duration store_load = std::chrono::milliseconds(5800);
+    duration disk_load = std::chrono::milliseconds(1200);
+    duration memory_load = std::chrono::milliseconds(400);
 };
 
 // One engine. Invariant: `models` are those that it announced; pending orders are kept only in
@@ -52,16 +56,29 @@
     std::set<std::string> models;
     // Models whose weights are on the host, so that a load does not use the weight store.
     std::set<std::string> local_weights;
+    // Those of `local_weights` that are in the host's memory.
+    std::set<std::string> memory_weights;
 };
 
 enum class move_kind { load, unload };
 
+// The second half of a swap: a load that waits until its engine has unloaded other models.
+struct reserved_load {
+    std::string model;
+    // Models that are unloaded after the one in progress.
+    std::vector<std::string> unloads;
+    // Time of the swap's first order.
+    time_point at{};
+};
+
 struct move {
     std::string engine;
     move_kind kind = move_kind::load;
     std::string model;
     bool from_store = false;
     std::string reason;
+    // For an unload: the load that it makes room for.
+    std::optional<reserved_load> makes_room_for = std::nullopt;
 };
 
 struct pending_order {
@@ -73,6 +90,8 @@
 struct move_planner_state {
     // Pending order of each engine, by engine id.
     std::map<std::string, pending_order> orders;
+    // By engine id. Until the load is ordered, the engine gets no orders but those of its swap.
+    std::map<std::string, reserved_load> reservations;
     // Start times of the loads from the weight store within `store_window`.
     std::deque<time_point> store_loads;
     // Time at which each copy was loaded, by engine and model.
@@ -93,7 +112,7 @@
 
 struct fleet_state {
     std::vector<engine_state> engines;
-    std::map<std::string, model_size> models;
+    std::map<std::string, model_profile> models;
     std::map<std::string, model_demand> demand;
 };
 
@@ -103,10 +122,16 @@
 [[nodiscard]] std::vector<move> next_moves(const fleet_state& f, const move_planner_state& m,
                                            const move_settings& s, time_point now);
 
+// When the models that no accepting engine holds are expected to be loaded, by model. Contains only
+// models with an order or a reservation.
+[[nodiscard]] std::map<std::string, time_point> expected_first_copies(const fleet_state& f,
+                                                                      const move_planner_state& m,
+                                                                      time_point now);
+
 // --- Commands
 
-// Drops orders that took effect or timed out, refusals that have expired, and store loads older
-// than the window.
+// Drops orders that took effect or timed out, reservations that can no longer be fulfilled,
+// refusals that have expired, and store loads older than the window.
 void reconcile_orders(move_planner_state& m, const fleet_state& f, const move_settings& s,
                       time_point now);
 void record_order(move_planner_state& m, const move& ordered, time_point now);
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -27,6 +27,10 @@
 // Engines considered for one more copy of a model, those with most spare capacity first. Limits the
 // time of a round to linear in the number of engines instead of quadratic.
 constexpr std::size_t max_engines_considered = 16;
+// Cost of each second until the first copy of a model in demand can serve, and of a model without
+// demand, in the unit of `cost_of`.
+constexpr double demanded_wait_cost_per_s = 0.3;
+constexpr double idle_wait_cost_per_s = 0.02;
 // Time without orders for an engine that refused one: about the duration of a load from its disk.
 constexpr duration refusal_backoff = std::chrono::milliseconds(900);
 
@@ -39,17 +43,20 @@
     const double before = utilization_from(p, model);
     const double after = copies == 0 ? 0 : utilization_from(p, model, capacity);
     double sum = 0;
-    for (std::size_t i = 0; i < p.held.size(); ++i) {
-        const bool holds = p.held[i].contains(model);
-        const bool will_hold = i == engine ? added : holds;
-        if (!holds && !will_hold) {
-            continue;
-        }
+    const auto adjust = [&](std::size_t i, bool holds, bool will_hold) {
         const auto known = changed.find(i);
         const double old = known == changed.end() ? p.utilization[i] : known->second;
         const double updated = old - (holds ? before : 0) + (will_hold ? after : 0);
         sum += p.f.engines[i].capacity * (cost_of(updated) - cost_of(old));
         changed[i] = updated;
+    };
+    bool holds_already = false;
+    for (const std::size_t i : holders_of(p, model)) {
+        holds_already = holds_already || i == engine;
+        adjust(i, true, i != engine || added);
+    }
+    if (added && !holds_already) {
+        adjust(engine, false, true);
     }
     return sum;
 }
@@ -59,20 +66,27 @@
     return found != p.m.loaded_at.end() && p.now - found->second < p.s.min_residency;
 }
 
+// True if the model is requested and no engine holds it or is about to.
+bool is_missing(const plan_state& p, const std::string& model) {
+    const model_demand d = demand_of(p.f, model);
+    return copies_of(p, model) == 0 && (d.unplaced || d.engines > idle_demand);
+}
+
 // A copy of a model in demand may be unloaded only if the copies at other engines that serve now,
-// and will still be held after the pending orders, can take its load.
-bool can_unload(const plan_state& p, std::size_t engine, const std::string& model) {
+// and will still be held after the pending orders, can take its load. For a model that is missing
+// it is enough that another copy serves: requests at a crowded copy wait, the others are refused.
+bool can_unload(const plan_state& p, std::size_t engine, const std::string& model,
+                bool for_missing) {
     const double engines = demand_of(p.f, model).engines;
     if (engines <= idle_demand) {
         return true;
     }
     double remaining = 0;
-    for (std::size_t i = 0; i < p.held.size(); ++i) {
+    for (const std::size_t i : holders_of(p, model)) {
         const engine_state& e = p.f.engines[i];
-        const bool serves = e.accepting && e.models.contains(model) && p.held[i].contains(model);
-        remaining += serves && i != engine ? e.capacity : 0;
+        remaining += e.models.contains(model) && i != engine ? e.capacity : 0;
     }
-    return remaining > 0 && engines / remaining <= max_demand_per_copy;
+    return remaining > 0 && (for_missing || engines / remaining <= max_demand_per_copy);
 }
 
 struct candidate {
@@ -94,17 +108,24 @@
     }
     const std::size_t copies = copies_of(p, c.model);
     change += redistribute(p, c.model, copies + 1, c.engine, true, changed);
-    change -= copies == 0 ? presence_value(p, c.model) : 0;
     change += c.from_store ? store_load_cost : local_load_cost;
+    if (copies == 0) {
+        const duration wait = load_time(p.f, p.f.engines[c.engine], c.model) +
+                              (c.victims.empty() ? duration::zero() : swap_overhead);
+        change -= presence_value(p, c.model);
+        change += (is_missing(p, c.model) ? demanded_wait_cost_per_s : idle_wait_cost_per_s) *
+                  to_seconds(wait);
+    }
     return -change;
 }
 
 // Sets of one or two models whose unloading frees at least `needed` megabytes.
 std::vector<std::vector<std::string>> victim_sets(const plan_state& p, std::size_t engine,
-                                                  double needed) {
+                                                  double needed, bool for_missing) {
     std::vector<std::string> movable;
     for (const std::string& model : p.f.engines[engine].models) {
-        if (!recently_loaded(p, engine, model) && can_unload(p, engine, model)) {
+        const bool settled = for_missing || !recently_loaded(p, engine, model);
+        if (settled && can_unload(p, engine, model, for_missing)) {
             movable.push_back(model);
         }
     }
@@ -161,6 +182,7 @@
         // host has the weights.
         const bool wait_for_local_weights =
             copies_of(p, model) == 0 && fits_with_local_weights(p, model);
+        const bool missing = is_missing(p, model);
         std::size_t considered = 0;
         for (const std::size_t i : by_spare_capacity) {
             const bool from_store = !p.f.engines[i].local_weights.contains(model);
@@ -176,7 +198,7 @@
                 consider(p, {i, model, {}, 0, from_store}, best);
                 continue;
             }
-            for (auto& victims : victim_sets(p, i, needed)) {
+            for (auto& victims : victim_sets(p, i, needed, missing)) {
                 consider(p, {i, model, std::move(victims), 0, from_store}, best);
             }
         }
@@ -188,9 +210,7 @@
     std::map<std::size_t, double> changed;
     for (const std::string& victim : c.victims) {
         (void)redistribute(p, victim, copies_of(p, victim) - 1, c.engine, false, changed);
-        --p.copies[victim];
-        p.capacity[victim] -= p.f.engines[c.engine].capacity;
-        p.held[c.engine].erase(victim);
+        note_unload(p, c.engine, victim);
     }
     (void)redistribute(p, c.model, copies_of(p, c.model) + 1, c.engine, true, changed);
     note_load(p, c.engine, c.model, c.from_store);
@@ -199,25 +219,75 @@
     }
 }
 
+// Orders the next step of each swap whose engine has carried out the last one.
+std::vector<move> continue_swaps(plan_state& p) {
+    std::vector<move> moves;
+    for (std::size_t i = 0; i < p.f.engines.size(); ++i) {
+        const engine_state& e = p.f.engines[i];
+        const auto found = p.m.reservations.find(e.id);
+        const auto refused = p.m.refused_until.find(e.id);
+        const bool waits = refused != p.m.refused_until.end() && refused->second > p.now;
+        if (found == p.m.reservations.end() || !e.accepting || waits || p.m.orders.contains(e.id)) {
+            continue;
+        }
+        const reserved_load& reserved = found->second;
+        const std::string reason = "swap for " + reserved.model;
+        if (!reserved.unloads.empty()) {
+            reserved_load next = reserved;
+            next.unloads.erase(next.unloads.begin());
+            moves.push_back(
+                {e.id, move_kind::unload, reserved.unloads.front(), false, reason, next});
+            continue;
+        }
+        const bool from_store = !e.local_weights.contains(reserved.model);
+        if (from_store && !store_allows_load(p)) {
+            continue;
+        }
+        moves.push_back({e.id, move_kind::load, reserved.model, from_store, reason});
+        p.store_loads_in_window += from_store ? 1 : 0;
+        p.store_loads_running += from_store ? 1 : 0;
+    }
+    return moves;
+}
+
+// True if the reserved load still makes sense at its engine.
+bool is_fulfillable(const fleet_state& f, const engine_state& e, const reserved_load& r,
+                    const move_settings& s, time_point now) {
+    if (!e.accepting || e.models.contains(r.model) || now - r.at > s.order_timeout) {
+        return false;
+    }
+    double free_mb = e.weights_capacity_mb;
+    for (const std::string& model : e.models) {
+        const bool unloaded_first =
+            std::find(r.unloads.begin(), r.unloads.end(), model) != r.unloads.end();
+        free_mb -= unloaded_first ? 0 : size_of(f, model);
+    }
+    return free_mb >= size_of(f, r.model);
+}
+
 }  // namespace
 
 std::vector<move> next_moves(const fleet_state& f, const move_planner_state& m,
                              const move_settings& s, time_point now) {
     plan_state p = state_of(f, m, s, now);
-    std::vector<move> moves = fill_empty_engines(p);
-    const std::size_t filled = moves.size();
+    std::vector<move> moves = continue_swaps(p);
+    for (move& filled : fill_empty_engines(p)) {
+        moves.push_back(std::move(filled));
+    }
+    const std::size_t begun = moves.size();
     const auto max_orders = static_cast<std::size_t>(
         std::ceil(max_ordered_share * static_cast<double>(f.engines.size())));
     std::size_t pending = 0;
     for (const engine_state& e : f.engines) {
-        pending += e.accepting && m.orders.contains(e.id) ? 1 : 0;
+        const bool busy = m.orders.contains(e.id) || m.reservations.contains(e.id);
+        pending += e.accepting && busy ? 1 : 0;
     }
-    while (moves.size() - filled < max_moves_per_round) {
+    while (moves.size() - begun < max_moves_per_round) {
         const candidate best = best_candidate(p);
         // First copies of models are exempt from the limit on pending orders: without one, requests
         // cannot be served at all.
         const bool urgent = copies_of(p, best.model) == 0;
-        if (best.gain <= 0 || (!urgent && pending + moves.size() - filled >= max_orders)) {
+        if (best.gain <= 0 || (!urgent && pending + moves.size() - begun >= max_orders)) {
             break;
         }
         const std::string& engine = f.engines[best.engine].id;
@@ -225,14 +295,47 @@
         if (best.victims.empty()) {
             moves.push_back({engine, move_kind::load, best.model, best.from_store, reason});
         } else {
-            // The load follows in a later round, when the memory is free.
-            moves.push_back({engine, move_kind::unload, best.victims.front(), false, reason});
+            const reserved_load next{
+                best.model, {best.victims.begin() + 1, best.victims.end()}, now};
+            moves.push_back({engine, move_kind::unload, best.victims.front(), false, reason, next});
         }
         apply(p, best);
     }
     return moves;
 }
 
+std::map<std::string, time_point> expected_first_copies(const fleet_state& f,
+                                                        const move_planner_state& m,
+                                                        time_point now) {
+    std::set<std::string> served;
+    for (const engine_state& e : f.engines) {
+        if (e.accepting) {
+            served.insert(e.models.begin(), e.models.end());
+        }
+    }
+    std::map<std::string, time_point> out;
+    const auto add = [&](const std::string& model, time_point at) {
+        if (!served.contains(model)) {
+            const auto [known, first] = out.try_emplace(model, at);
+            known->second = std::min(known->second, at);
+        }
+    };
+    for (const engine_state& e : f.engines) {
+        const auto order = m.orders.find(e.id);
+        if (order != m.orders.end() && order->second.ordered.kind == move_kind::load) {
+            const std::string& model = order->second.ordered.model;
+            add(model, std::max(now, order->second.at + load_time(f, e, model)));
+        }
+        const auto reserved = m.reservations.find(e.id);
+        if (reserved != m.reservations.end()) {
+            const std::string& model = reserved->second.model;
+            const time_point load_at = std::max(now, reserved->second.at + swap_overhead);
+            add(model, load_at + load_time(f, e, model));
+        }
+    }
+    return out;
+}
+
 void reconcile_orders(move_planner_state& m, const fleet_state& f, const move_settings& s,
                       time_point now) {
     std::erase_if(m.orders, [&](const auto& item) {
@@ -250,6 +353,12 @@
         }
         return effect_visible || now - order.at > s.order_timeout;
     });
+    std::erase_if(m.reservations, [&](const auto& item) {
+        const auto e = std::find_if(f.engines.begin(), f.engines.end(),
+                                    [&](const engine_state& x) { return x.id == item.first; });
+        return e == f.engines.end() ||
+               (!m.orders.contains(item.first) && !is_fulfillable(f, *e, item.second, s, now));
+    });
     std::erase_if(m.refused_until, [now](const auto& item) { return item.second <= now; });
     while (!m.store_loads.empty() && now - m.store_loads.front() > s.store_window) {
         m.store_loads.pop_front();
@@ -258,6 +367,11 @@
 
 void record_order(move_planner_state& m, const move& ordered, time_point now) {
     m.orders[ordered.engine] = {ordered, now};
+    if (ordered.makes_room_for) {
+        m.reservations[ordered.engine] = *ordered.makes_room_for;
+    } else {
+        m.reservations.erase(ordered.engine);
+    }
     if (ordered.from_store) {
         m.store_loads.push_back(now);
     }
@@ -273,6 +387,7 @@
 
 void record_refused_order(move_planner_state& m, const std::string& engine, time_point now) {
     m.orders.erase(engine);
+    m.reservations.erase(engine);
     m.refused_until[engine] = now + refusal_backoff;
 }
 
