Gateways: loads on demand, absent models refused at once, engines divided by token share

- Requests for a model that no engine holds were held for 0.6 of their time, whether or not a load was under way.
The leader now announces such loads; a gateway holds a request only for a load that ends in time, else it refuses with the time until the model can serve, and reports the demand at once (dispatch/absence).
- Each engine sent each gateway up to 17 beacons a second, and each beacon was compared with all upstreams: cost grows with gateways times engines.
A gateway now asks the sidecars of the engines that could take a request before it chooses (gateway/load_questions); regular beacons go only to gateways with requests at an engine.
Engines are found by an index of addresses.
Division now needs most prompt tokens to be in long prompts.

test_silent_upstreams: an engine whose reports stopped is now one that was asked and did not answer, so its stand-in says that it was asked; the checks are unchanged.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -94,6 +94,7 @@
     }
     out.local_weights.insert(a.in_memory().begin(), a.in_memory().end());
     out.local_weights.insert(a.on_disk().begin(), a.on_disk().end());
+    out.memory_weights.insert(a.in_memory().begin(), a.in_memory().end());
     return out;
 }
 
@@ -256,7 +257,7 @@
     for (const deployment::model_spec& m : service.engine.models) {
         for (placement::fleet_state* fleet :
              {&f.all, &f.short_prompt_fleet, &f.long_prompt_fleet}) {
-            fleet->models[m.name] = {m.weights_mb};
+            fleet->models[m.name] = {m.weights_mb, m.store_load, m.disk_load, m.memory_load};
         }
         add_demand(i, f, m.name, now);
     }
@@ -284,7 +285,7 @@
 boost::asio::awaitable<void> announce_unload(instance& i, std::string engine, std::string model) {
     i.site->pending_unloads[{engine, model}] = runtime::boot_now() + unload_notice_lifetime;
     for (auto& [w, watch] : i.site->watchers) {
-        watch.unloads_sent = false;
+        watch.placement_sent = false;
     }
     update_site_watchers(i);
     co_await runtime::sleep_for(unload_notice);
@@ -353,16 +354,38 @@
     }
 }
 
-void plan_service(instance& i, const deployment::service_spec& service, time_point now) {
+// Informs gateways of the loads of models that no engine holds: at once if requests were refused
+// for one of them, with the next update otherwise.
+void announce_expected_models(instance& i, std::map<std::string, time_point> expected) {
+    const auto is_requested = [&](const std::string& model) {
+        return i.site->unplaced.contains({model, false}) ||
+               i.site->unplaced.contains({model, true});
+    };
+    const bool urgent = std::any_of(expected.begin(), expected.end(), [&](const auto& item) {
+        return !i.site->expected_models.contains(item.first) && is_requested(item.first);
+    });
+    i.site->expected_models = std::move(expected);
+    if (urgent) {
+        for (auto& [w, watch] : i.site->watchers) {
+            watch.placement_sent = false;
+        }
+        update_site_watchers(i);
+    }
+}
+
+// Plans for one service, and returns when its models without a copy are expected to be loaded.
+std::map<std::string, time_point> plan_service(instance& i, const deployment::service_spec& service,
+                                               time_point now) {
     const service_fleets f = fleets_of(i, service, now);
     const placement::move_settings s = settings_for(i, service.engine);
     placement::reconcile_orders(i.site->moves, f.all, s, now);
-    if (!f.divided) {
+    if (f.divided) {
+        start_moves(i, f.short_prompt_fleet, s, now);
+        start_moves(i, f.long_prompt_fleet, s, now);
+    } else {
         start_moves(i, f.all, s, now);
-        return;
     }
-    start_moves(i, f.short_prompt_fleet, s, now);
-    start_moves(i, f.long_prompt_fleet, s, now);
+    return placement::expected_first_copies(f.all, i.site->moves, now);
 }
 
 boost::asio::awaitable<void> run_planner(instance& i) {
@@ -381,6 +404,7 @@
         refresh_deployment(i);
         std::erase_if(i.site->pending_unloads, [now](const auto& p) { return p.second < now; });
         update_demand(*i.site, now);
+        std::map<std::string, time_point> expected;
         for (const deployment::service_spec& service : i.site->current.services) {
             if (service.engine.slots == 0) {
                 continue;
@@ -390,8 +414,9 @@
                 i.site->smoothed_demand.clear();
                 planned_term = i.raft->node()->term;
             }
-            plan_service(i, service, now);
+            expected.merge(plan_service(i, service, now));
         }
+        announce_expected_models(i, std::move(expected));
     }
 }
 
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -48,7 +48,13 @@
         p.set_upstream(copy.first);
         p.set_model(copy.second);
     }
-    watch.unloads_sent = true;
+    for (const auto& [model, at] : i.site->expected_models) {
+        rpc::expected_model& e = *update.add_expected_models();
+        e.set_model(model);
+        e.set_expected_in_ms(static_cast<std::uint32_t>(
+            to_milliseconds(std::max(duration::zero(), at - runtime::boot_now()))));
+    }
+    watch.placement_sent = true;
     add_limits(i, update);
     const schema::crash_news news =
         quarantine::news_since(i.site->crashes, watch.sent_crashes, runtime::boot_now());
@@ -283,7 +289,7 @@
     record_deployment(i.site->history, i.raft->state().deployment());
     for (auto& [w, watch] : i.site->watchers) {
         const bool behind = watch.sent_version < i.raft->state().deployment().version() ||
-                            w->known() < i.site->upstreams.changes || !watch.unloads_sent ||
+                            w->known() < i.site->upstreams.changes || !watch.placement_sent ||
                             watch.sent_crashes < i.site->crashes.revision;
         if (behind && w->ready()) {
             send_update(i, w, watch);
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -27,8 +27,8 @@
     std::string name;
     // The deployment version in the last update sent.
     std::uint64_t sent_version = 0;
-    // False while `pending_unloads` has changed since the last update sent.
-    bool unloads_sent = true;
+    // False while `pending_unloads` or `expected_models` has changed since the last update sent.
+    bool placement_sent = true;
     // The revision of `site_state::crashes` in the last update sent.
     std::uint64_t sent_crashes = 0;
 };
@@ -98,6 +98,8 @@
     // Models about to be unloaded, by engine and model, with the time until which updates to
     // gateways contain the notice.
     std::map<std::pair<std::string, std::string>, time_point> pending_unloads;
+    // When models that no engine holds are expected to be loaded, by model.
+    std::map<std::string, time_point> expected_models;
     // By address.
     std::map<std::string, std::shared_ptr<rpc::sidecar::Stub>> sidecars;
 };
--- a/libs/dispatch/include/dispatch/roles.h
+++ b/libs/dispatch/include/dispatch/roles.h
@@ -23,6 +23,8 @@
 struct engine_location {
     std::string address;
     std::string failure_domain;
+
+    bool operator==(const engine_location&) const = default;
 };
 
 // Addresses of the engines for short prompts; empty if the service is not divided. Deterministic:
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -72,10 +72,12 @@
     std::uint32_t waiting = 0;
     std::uint32_t reading = 0;
     std::uint32_t running = 0;
-    // Smoothed number of prompts being read: the interference that a new stream has to expect.
+    // Average number of prompts being read: the interference that a new stream has to expect.
     double average_reading = 0;
     // Reading time of the requests that this gateway sent since the report, in milliseconds.
     double sent_since_ms = 0;
+    // When the oldest question that has not been answered was sent; the zero time if there is none.
+    time_point asked_at{};
 };
 
 // Invariants: id and address never change; a different `born_ms` means a different upstream.
@@ -105,6 +107,9 @@
     time_point leaves_at = time_point::max();
     time_point cold_until{};
     std::map<std::string, loaded_model, std::less<>> models;
+    // Models whose weights are on the engine's host, so that it loads them faster.
+    std::set<std::string, std::less<>> weights_in_memory;
+    std::set<std::string, std::less<>> weights_on_disk;
     // Prompt lengths that it serves, if the engines of its service are divided.
     engine_role role = engine_role::any;
     // Until this time the engine loads no further adapter.
@@ -140,14 +145,16 @@
 // on this gateway's requests.
 [[nodiscard]] std::uint32_t running_at(const upstream& u, time_point now);
 
-// True if `u` has reported its load before and the last report is too old.
+// True if `u` has not reported its load although it was asked some time ago.
 [[nodiscard]] bool load_is_stale(const upstream& u, time_point now);
 
 // --- Commands
 
 // Stores a load report of the engine's sidecar.
 void record_load(upstream& u, std::uint32_t waiting, std::uint32_t reading, std::uint32_t running,
-                 time_point now);
+                 double average_reading, time_point now);
+// Records that the engine's sidecar was asked for a report.
+void record_load_asked(upstream& u, time_point now);
 // Accounts for a request whose prompt takes `read_ms` to read.
 void record_sent(upstream& u, double read_ms);
 // Adds the parts of `w` to the estimated prefix cache of `u`; `capacity` is its size in tokens.
--- a/libs/dispatch/src/upstream.cpp
+++ b/libs/dispatch/src/upstream.cpp
@@ -14,11 +14,9 @@
 // Mean share of a prompt that is still unread while it is being read.
 constexpr double mean_unread_share = 0.6;
 constexpr double read_time_smoothing = 0.05;
-// Age above which a load report is stale. Idle engines send a beacon every 300 ms, and two beacons
-// in a row are unlikely to be lost at random.
-constexpr duration load_stale = std::chrono::milliseconds(900);
-// Averages over about two seconds of beacons.
-constexpr double reading_smoothing = 0.03;
+// Time without an answer after which an engine's load is stale. Subscribers get a beacon every
+// 300 ms, and two beacons in a row are unlikely to be lost at random.
+constexpr duration load_stale = std::chrono::milliseconds(700);
 
 std::uint64_t seed_of(const work& w) {
     return checksum_of(w.model + "/" + w.adapter);
@@ -101,14 +99,18 @@
 }
 
 bool load_is_stale(const upstream& u, time_point now) {
-    return u.load.at != time_point{} && now - u.load.at > load_stale;
+    return u.load.asked_at != time_point{} && now - u.load.asked_at > load_stale;
 }
 
 void record_load(upstream& u, std::uint32_t waiting, std::uint32_t reading, std::uint32_t running,
-                 time_point now) {
-    const double average =
-        u.load.average_reading + reading_smoothing * (reading - u.load.average_reading);
-    u.load = {now, waiting, reading, running, average, 0};
+                 double average_reading, time_point now) {
+    u.load = {now, waiting, reading, running, average_reading, 0, {}};
+}
+
+void record_load_asked(upstream& u, time_point now) {
+    if (u.load.asked_at == time_point{}) {
+        u.load.asked_at = now;
+    }
 }
 
 void record_sent(upstream& u, double read_ms) {
--- a/libs/gateway/src/beacon_listener.cpp
+++ b/libs/gateway/src/beacon_listener.cpp
@@ -6,8 +6,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <set>
 
+#include "load_questions.h"
 #include "quarantine.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
-constexpr duration subscribe_interval = std::chrono::seconds(1);
+constexpr duration subscribe_interval = std::chrono::milliseconds(300);
 constexpr std::size_t max_beacon_bytes = 8 * 1024;
 // An adapter listed in a beacon counts as loaded for this long without a lease.
 constexpr duration beacon_adapter_lease = std::chrono::milliseconds(400);
@@ -56,21 +56,19 @@
 
 bool apply_beacon(site_view& v, const std::string& ip, const schema::engine_beacon& b,
                   time_point now) {
-    for (auto& [id, u] : v.upstreams) {
-        const auto at = settings::parse_endpoint(u.address);
-        if (u.born_ms != b.born_ms() || !at || at->ip != ip) {
-            continue;
-        }
-        dispatch::record_load(u, b.waiting(), b.reading(), b.running(), now);
-        if (b.leaving()) {
-            mark_leaving(u, "report");
-        }
-        if (b.busy()) {
-            u.adapters_blocked_until = std::max(u.adapters_blocked_until, now + busy_adapter_block);
-        }
-        return update_models(u, b, now);
+    dispatch::upstream* u = engine_at(v, ip, b.born_ms());
+    if (u == nullptr) {
+        return false;
     }
-    return false;
+    dispatch::record_load(*u, b.waiting(), b.reading(), b.running(),
+                          b.average_reading_milli() / 1000.0, now);
+    if (b.leaving()) {
+        mark_leaving(*u, "report");
+    }
+    if (b.busy()) {
+        u->adapters_blocked_until = std::max(u->adapters_blocked_until, now + busy_adapter_block);
+    }
+    return update_models(*u, b, now);
 }
 
 beacon_listener::beacon_listener(core& c) : core_(c), socket_(c.traffic.context()) {}
@@ -85,30 +83,37 @@
     if (failed) {
         return "open the socket for beacons: " + failed.message();
     }
+    core_.ask_for_load = [this](const std::string& address, bool once) { ask(address, once); };
     runtime::spawn(core_.traffic, [this] { return subscribe(); });
     runtime::spawn(core_.traffic, [this] { return receive(); });
     return "";
 }
 
-asio::awaitable<void> beacon_listener::subscribe() {
+void beacon_listener::ask(const std::string& upstream_address, bool once) {
+    const auto at = settings::parse_endpoint(upstream_address);
+    if (!at) {
+        return;
+    }
     schema::beacon_subscription subscription;
     subscription.set_gateway(core_.settings.name);
-    const std::string text = subscription.SerializeAsString();
+    subscription.set_once(once);
+    const udp::endpoint to(asio::ip::make_address(at->ip), core_.settings.sidecar_port);
+    boost::system::error_code ignored;
+    // Errors are ignored: a lost datagram is followed by the next question or subscription.
+    (void)socket_.send_to(asio::buffer(subscription.SerializeAsString()), to, 0, ignored);
+}
+
+// Subscribes to the engines that serve requests of this gateway, so that a silent one is noticed.
+asio::awaitable<void> beacon_listener::subscribe() {
     while (true) {
-        std::set<std::string> ips;
-        for (const auto& [id, u] : core_.view.upstreams) {
-            const auto at = settings::parse_endpoint(u.address);
-            if (at && u.slots > 0 && (!u.models.empty() || u.role != dispatch::engine_role::any)) {
-                ips.insert(at->ip);
+        co_await runtime::sleep_for(subscribe_interval);
+        const time_point now = runtime::boot_now();
+        for (auto& [id, u] : core_.view.upstreams) {
+            if (u.in_flight > 0 && !u.models.empty()) {
+                dispatch::record_load_asked(u, now);
+                ask(u.address, false);
             }
         }
-        for (const std::string& ip : ips) {
-            const udp::endpoint to(asio::ip::make_address(ip), core_.settings.sidecar_port);
-            boost::system::error_code ignored;
-            // Errors are ignored: the next subscription follows after `subscribe_interval`.
-            (void)socket_.send_to(asio::buffer(text), to, 0, ignored);
-        }
-        co_await runtime::sleep_for(subscribe_interval);
     }
 }
 
@@ -126,6 +131,9 @@
             continue;
         }
         const std::string ip = from.address().to_string();
+        if (const dispatch::upstream* u = engine_at(core_.view, ip, b.born_ms())) {
+            record_load_answer(core_, u->id);
+        }
         record_engine_alive(core_, ip, b.born_ms(), runtime::boot_now());
         if (apply_beacon(core_.view, ip, b, runtime::boot_now())) {
             const auto timers = core_.waiting_timers;
--- a/libs/gateway/src/beacon_listener.h
+++ b/libs/gateway/src/beacon_listener.h
@@ -18,6 +18,9 @@
     [[nodiscard]] std::string open();
 
 private:
+    // Asks the sidecar of the upstream at this address for one beacon, or subscribes to its
+    // beacons.
+    void ask(const std::string& upstream_address, bool once);
     boost::asio::awaitable<void> subscribe();
     boost::asio::awaitable<void> receive();
 
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -29,6 +29,7 @@
 
 class session;
 class beacon_listener;
+struct load_question;
 struct request_state;
 
 struct demand_key {
@@ -82,6 +83,9 @@
     // By service.
     std::map<std::string, dispatch::retry_budget> budgets;
     std::map<demand_key, model_counts> demand;
+    // Set when a request found no copy of its model: the planner is to know before the next regular
+    // report.
+    bool demand_report_due = false;
     dispatch::model_speeds speeds;
     // The control instance that leads, and grants permits; null if none is known.
     std::shared_ptr<rpc::control::Stub> leader;
@@ -93,6 +97,10 @@
     // Timers of requests that wait for an upstream or for a newer deployment; cancelled whenever
     // the view changes.
     std::list<boost::asio::steady_timer*> waiting_timers;
+    // Sends a question for the load of the engine at an address, or a subscription to it; empty if
+    // there are no sidecars. The questions that wait for answers.
+    std::function<void(const std::string& address, bool once)> ask_for_load;
+    std::list<load_question*> load_questions;
     std::list<std::weak_ptr<session>> sessions;
     std::list<std::weak_ptr<request_state>> open_requests;
     // Connections of callers on which a request is being read, served or answered, until the last
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -4,8 +4,10 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "dispatch/absence.h"
 #include "dispatch/admission.h"
 #include "drain.h"
+#include "load_questions.h"
 #include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
@@ -41,6 +43,14 @@
 constexpr duration first_deployment_timeout = std::chrono::milliseconds(900);
 constexpr duration ensure_timeout = std::chrono::milliseconds(400);
 
+// When the load of the request's model is expected to end, for logs.
+std::string load_expected(const core& c, const request_state& r, time_point now) {
+    const auto found = c.view.expected_models.find(r.facts.needs.model);
+    return found == c.view.expected_models.end()
+               ? "none"
+               : std::to_string(to_milliseconds(found->second - now));
+}
+
 bool has_deployment(const core& c) {
     return c.view.current.version != 0;
 }
@@ -114,6 +124,7 @@
 // Before the first attempt, refuses the request if no upstream can process its prompt in time. True
 // if it was refused.
 asio::awaitable<bool> refuse_if_too_late(core& c, session& caller, request_state& r) {
+    co_await ask_for_loads(c, r);
     const time_point now = runtime::boot_now();
     const std::vector<dispatch::upstream*> all = upstreams_of(c.view, r.service);
     const duration first_event_timeout =
@@ -138,8 +149,42 @@
     return dispatch::time_until_resumption(upstreams_of(c.view, r.service), v, now);
 }
 
+// Whether a request whose model no upstream holds waits for the load.
+dispatch::absence_decision decide_absence(core& c, const request_state& r,
+                                          const std::vector<dispatch::upstream*>& all,
+                                          time_point now) {
+    const std::string& name = r.facts.needs.model;
+    dispatch::model_return expected;
+    const auto announced = c.view.expected_models.find(name);
+    if (announced != c.view.expected_models.end()) {
+        expected.expected_at = announced->second;
+    }
+    const deployment::service_spec* service = deployment::find_service(c.view.current, r.service);
+    const deployment::model_spec* model =
+        service == nullptr ? nullptr : deployment::find_model(service->engine, name);
+    if (model != nullptr) {
+        expected.load_estimate = dispatch::estimate_load(all, name, model->memory_load,
+                                                         model->disk_load, model->store_load);
+    }
+    const duration patience =
+        r.route.caller_silence_timeout > duration::zero()
+            ? std::min(r.route.caller_silence_timeout - (now - r.request.arrived),
+                       time_left(r, now))
+            : time_left(r, now);
+    return dispatch::decide_absence(expected, patience, now - r.request.arrived, now);
+}
+
+// The time after which callers are told to come back, lengthened at random so that those of one
+// model do not return all at once.
+duration spread_retry_after(core& c, duration wait) {
+    constexpr double max_lengthening = 0.3;
+    std::uniform_real_distribution<double> draw(1.0, 1.0 + max_lengthening);
+    return std::chrono::duration_cast<duration>(wait * draw(c.rng));
+}
+
 // The upstream for the next attempt. While none can take the request, waits for up to
-// `wait_fraction` of the remaining time, but only if the request has not been sent before.
+// `wait_fraction` of the remaining time, but only if the request has not been sent before. A
+// request whose model is absent waits only for a load that is under way.
 asio::awaitable<std::optional<dispatch::choice>> next_upstream(core& c, session& caller,
                                                                request_state& r) {
     const time_point began = runtime::boot_now();
@@ -147,6 +192,7 @@
         std::chrono::duration_cast<duration>(time_left(r, began) * wait_fraction);
     bool demand_counted = false;
     while (!caller.caller_left()) {
+        co_await ask_for_loads(c, r);
         const time_point now = runtime::boot_now();
         const std::vector<dispatch::upstream*> all = upstreams_of(c.view, r.service);
         const dispatch::request_view v = make_request_view(c, r);
@@ -157,11 +203,21 @@
             demand_counted = true;
             ++c.demand[demand_key_of(c, r)].unplaced;
         }
+        const bool absent = r.tried.empty() && dispatch::is_model_absent(all, v, now);
+        if (absent) {
+            c.demand_report_due = true;
+            const dispatch::absence_decision decided = decide_absence(c, r, all, now);
+            if (!decided.hold) {
+                r.last_failure = "no upstream holds the model";
+                r.model_return_in = spread_retry_after(c, decided.retry_after);
+                break;
+            }
+        }
         const bool paused = pause_of_service(c, r, now).has_value();
         if (paused && r.last_failure.empty()) {
             r.last_failure = "all upstreams are paused or at their rate limit";
         }
-        if (now - began >= max_wait || c.draining || !r.tried.empty() || paused) {
+        if ((!absent && now - began >= max_wait) || c.draining || !r.tried.empty() || paused) {
             break;
         }
         co_await wait_for_view_change(c, recheck_interval);
@@ -274,7 +330,9 @@
     if (!r.may_have_run) {
         std::string reason = "no upstream accepted the request: " + r.last_failure;
         const duration retry_after =
-            pause_of_service(c, r, runtime::boot_now()).value_or(retry_after_no_upstream);
+            r.model_return_in > duration::zero()
+                ? r.model_return_in
+                : pause_of_service(c, r, runtime::boot_now()).value_or(retry_after_no_upstream);
         co_await refuse(c, caller, r, unavailable, std::move(reason), retry_after);
         co_return;
     }
@@ -377,6 +435,9 @@
 }
 
 void count_demand(core& c, const request_state& r) {
+    if (!r.facts.needs.model.empty()) {
+        record_prompt(c.view, r.service, r.facts.needs.prompt_tokens, c.settings.choice.roles);
+    }
     model_counts& counts = c.demand[demand_key_of(c, r)];
     ++counts.arrivals;
     counts.prompt_tokens += r.facts.needs.prompt_tokens;
@@ -409,6 +470,8 @@
          {"sends", static_cast<std::uint64_t>(r.tried.size())},
          {"last_failure", r.last_failure},
          {"begun", r.head_sent ? "yes" : "no"},
+         {"model", r.facts.needs.model},
+         {"load_expected_ms", load_expected(c, r, runtime::boot_now())},
          {"version", c.view.current.version},
          {"version_routed", r.version},
          {"since_stop_ms", since_stop(c, runtime::boot_now())},
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -71,6 +71,8 @@
     // When the current upstream last sent something, or when the request was sent to it.
     time_point last_progress_at{};
     std::string last_failure;
+    // How long the caller of a request whose model is absent should wait; zero if it is not.
+    duration model_return_in{};
     // How the current attempt ended, and how the last one that forwarded events did.
     attempt_ending ending;
     std::optional<attempt_ending> cut;
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -134,6 +134,7 @@
     std::unique_ptr<site_client> control;
     std::unique_ptr<beacon_listener> beacons;
     acceptor_ptr acceptor;
+    time_point last_report_at{};
     std::unique_ptr<runtime::http_server> ready;
     std::unique_ptr<runtime::http_server> metrics;
     int maintenance_runs = 0;
@@ -211,6 +212,11 @@
             for (const rpc::parting_copy& p : update.parting()) {
                 c.view.pending_unloads.emplace(p.upstream(), p.model());
             }
+            c.view.expected_models.clear();
+            for (const rpc::expected_model& e : update.expected_models()) {
+                c.view.expected_models[e.model()] =
+                    now + std::chrono::milliseconds(e.expected_in_ms());
+            }
         }
         c.view.gateways = std::max(1U, update.gateways());
         merge_crash_news(c, update.crash_news(), now);
@@ -220,11 +226,11 @@
         }
     }
 
-    rpc::demand_report collect_report() {
+    rpc::demand_report collect_report(time_point now) {
         rpc::demand_report report;
         report.set_gateway(gateway_core.settings.name);
-        report.set_window_ms(static_cast<std::uint32_t>(to_milliseconds(maintenance_interval) *
-                                                        maintenance_runs_per_report));
+        report.set_window_ms(static_cast<std::uint32_t>(to_milliseconds(now - last_report_at)));
+        last_report_at = now;
         for (auto& [key, counts] : gateway_core.demand) {
             if (key.model.empty() || (counts.arrivals == 0 && counts.in_flight == 0)) {
                 continue;
@@ -250,6 +256,7 @@
 
     asio::awaitable<void> run_maintenance() {
         core& c = gateway_core;
+        last_report_at = runtime::boot_now();
         while (true) {
             const time_point due = runtime::boot_now() + maintenance_interval;
             co_await runtime::sleep_for(maintenance_interval);
@@ -261,8 +268,9 @@
                 close_expired(pool, now);
             }
             c.sessions.remove_if([](const std::weak_ptr<session>& s) { return s.expired(); });
-            if (++maintenance_runs % maintenance_runs_per_report == 0) {
-                c.control.post([this, report = collect_report()] { control->report(report); });
+            if (++maintenance_runs % maintenance_runs_per_report == 0 || c.demand_report_due) {
+                c.demand_report_due = false;
+                c.control.post([this, report = collect_report(now)] { control->report(report); });
                 share_crashes(c, now);
             }
         }
--- a/libs/gateway/src/site_view.cpp
+++ b/libs/gateway/src/site_view.cpp
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "settings/common.h"
+
 namespace burdockdeck::gateway {
 
 namespace {
@@ -18,6 +20,19 @@
         }
     }
     u.models = std::move(models);
+    u.weights_in_memory = {a.in_memory().begin(), a.in_memory().end()};
+    u.weights_on_disk = {a.on_disk().begin(), a.on_disk().end()};
+}
+
+// Factor by which earlier prompts count less with each one.
+constexpr double prompt_decay = 0.98;
+// Share of long prompts in all prompt tokens from which on engines are divided.
+constexpr double min_long_share = 0.5;
+
+bool are_mostly_long(const site_view& v, const std::string& service) {
+    const auto found = v.prompts.find(service);
+    return found != v.prompts.end() &&
+           found->second.long_tokens >= min_long_share * found->second.all_tokens;
 }
 
 }  // namespace
@@ -32,6 +47,20 @@
     return out;
 }
 
+dispatch::upstream* engine_at(site_view& v, std::string_view ip, std::uint64_t born_ms) {
+    const auto ids = v.ids_by_ip.find(ip);
+    if (ids == v.ids_by_ip.end()) {
+        return nullptr;
+    }
+    for (const std::string& id : ids->second) {
+        const auto found = v.upstreams.find(id);
+        if (found != v.upstreams.end() && found->second.born_ms == born_ms) {
+            return &found->second;
+        }
+    }
+    return nullptr;
+}
+
 bool has_newest_deployment(const site_view& v, time_point now) {
     return v.current.version != 0 && v.current.version >= v.newest_reported_version &&
            now - v.confirmed_at <= confirmation_validity;
@@ -42,18 +71,37 @@
         if (service.engine.slots == 0) {
             continue;
         }
+        const std::vector<dispatch::upstream*> upstreams = upstreams_of(v, service.name);
         std::vector<dispatch::engine_location> places;
-        for (const dispatch::upstream* u : upstreams_of(v, service.name)) {
-            if (u->accepting) {
-                places.push_back({u->address, u->failure_domain});
+        if (are_mostly_long(v, service.name)) {
+            for (const dispatch::upstream* u : upstreams) {
+                if (u->accepting) {
+                    places.push_back({u->address, u->failure_domain});
+                }
             }
         }
+        if (places == v.divided_engines[service.name]) {
+            continue;
+        }
         const std::set<std::string> chosen = dispatch::short_prompt_engines(places, s);
-        for (dispatch::upstream* u : upstreams_of(v, service.name)) {
+        for (dispatch::upstream* u : upstreams) {
             u->role = chosen.empty()                ? dispatch::engine_role::any
                       : chosen.contains(u->address) ? dispatch::engine_role::short_prompts
                                                     : dispatch::engine_role::long_prompts;
         }
+        v.divided_engines[service.name] = std::move(places);
+    }
+}
+
+void record_prompt(site_view& v, const std::string& service, std::uint32_t tokens,
+                   const dispatch::role_settings& s) {
+    const bool divided = are_mostly_long(v, service);
+    prompt_mix& mix = v.prompts[service];
+    mix.long_tokens =
+        prompt_decay * mix.long_tokens + (tokens >= s.long_prompt_tokens ? tokens : 0);
+    mix.all_tokens = prompt_decay * mix.all_tokens + tokens;
+    if (are_mostly_long(v, service) != divided) {
+        assign_roles(v, s);
     }
 }
 
@@ -79,10 +127,14 @@
     if (restarted) {
         const std::uint32_t in_flight = u.in_flight;
         u = {};
+        v.divided_engines.clear();
         u.in_flight = in_flight;
         u.id = a.id();
         u.born_ms = a.born_ms();
         u.address = a.address();
+        if (const auto at = settings::parse_endpoint(u.address)) {
+            v.ids_by_ip[at->ip].insert(u.id);
+        }
     }
     u.service = a.service();
     u.failure_domain = a.failure_domain();
--- a/libs/gateway/src/site_view.h
+++ b/libs/gateway/src/site_view.h
@@ -18,6 +18,12 @@
 // 1.4 s old; the sum stays below the 2 s within which operators expect a change to take effect.
 inline constexpr duration confirmation_validity = std::chrono::milliseconds(500);
 
+// Sums over recent prompts; older ones count less and less.
+struct prompt_mix {
+    double long_tokens = 0;
+    double all_tokens = 0;
+};
+
 struct site_view {
     // Version 0 until the first deployment has been received from control.
     deployment::site current;
@@ -28,10 +34,18 @@
     // they may have been queued.
     time_point confirmed_at{};
     std::map<std::string, dispatch::upstream> upstreams;
+    // Ids of the upstreams that were announced at each IP address.
+    std::map<std::string, std::set<std::string>, std::less<>> ids_by_ip;
     // Start time and sequence number of the last announcement applied, by upstream id.
     std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> last_announcements;
     // Pairs of upstream and model that the planner is about to unload.
     std::set<std::pair<std::string, std::string>> pending_unloads;
+    // When models that no engine holds are expected to be loaded, as the leader plans it.
+    std::map<std::string, time_point, std::less<>> expected_models;
+    // Prompts that this gateway received, by service.
+    std::map<std::string, prompt_mix, std::less<>> prompts;
+    // The engines by which roles were last assigned, by service; none if they are not divided.
+    std::map<std::string, std::vector<dispatch::engine_location>, std::less<>> divided_engines;
     // Number of gateways that share the fleet's retry budgets.
     std::uint32_t gateways = 1;
 };
@@ -40,6 +54,10 @@
 
 [[nodiscard]] std::vector<dispatch::upstream*> upstreams_of(site_view& v, std::string_view service);
 
+// The engine that started at `born_ms` at this IP address; null if there is none.
+[[nodiscard]] dispatch::upstream* engine_at(site_view& v, std::string_view ip,
+                                            std::uint64_t born_ms);
+
 // True if the deployment in force is confirmed to be the newest, so that a request without a route
 // in it can be answered with 404.
 [[nodiscard]] bool has_newest_deployment(const site_view& v, time_point now);
@@ -47,8 +65,13 @@
 // --- Commands
 
 // Reassigns the engines of each service to short and long prompts; to be called after each change
-// of announcements or deployment.
+// of announcements or deployment. A service is divided only while most tokens that its engines read
+// belong to long prompts; otherwise its short prompts use all engines.
 void assign_roles(site_view& v, const dispatch::role_settings& s);
+// Records that a prompt arrived for `service`; assigns roles anew if its engines are to be divided
+// or joined.
+void record_prompt(site_view& v, const std::string& service, std::uint32_t tokens,
+                   const dispatch::role_settings& s);
 // Applies an announcement that is newer than the last one applied, or equally new and states that
 // the upstream is not ready; an older one only withdraws its incarnation. An incarnation that was
 // withdrawn stays so. True if the view changed.
--- a/libs/gateway/tests/fixture.h
+++ b/libs/gateway/tests/fixture.h
@@ -229,8 +229,8 @@
 }
 
 struct fixture {
-    explicit fixture(deployment::repeatability kind, const std::string& model) {
-        gateway_settings settings;
+    explicit fixture(deployment::repeatability kind, const std::string& model,
+                     gateway_settings settings = {}) {
         settings.name = "g1";
         settings.grace = std::chrono::seconds(8);
         auto access = runtime::rpc_access::create(settings.access);
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -215,12 +215,61 @@
     CHECK(v.upstreams.at("u").accepting);
 }
 
+// Pattern: nearly all prompts are short; a division would put them on a quarter of the engines.
+TEST_CASE("engines are divided by prompt length only if most tokens are in long prompts") {
+    site_view v;
+    v.current.services.emplace_back();
+    v.current.services.back().name = "maps";
+    v.current.services.back().engine.slots = 64;
+    for (int i = 0; i < 8; ++i) {
+        schema::upstream_announcement a = make_announcement(5, 1);
+        a.set_id("u" + std::to_string(i));
+        a.set_address("10.0.0." + std::to_string(i) + ":80");
+        a.set_service("maps");
+        (void)apply_announcement(v, a, now);
+    }
+    dispatch::role_settings s;
+    s.short_share = 0.25;
+    const auto count = [&](dispatch::engine_role role) {
+        return std::count_if(v.upstreams.begin(), v.upstreams.end(),
+                             [&](const auto& item) { return item.second.role == role; });
+    };
+    assign_roles(v, s);
+    CHECK(count(dispatch::engine_role::any) == 8);
+    // One prompt in thirty is just above the limit.
+    for (int i = 1; i <= 300; ++i) {
+        record_prompt(v, "maps", i % 30 == 0 ? 2200 : 540, s);
+    }
+    CHECK(count(dispatch::engine_role::any) == 8);
+    // Short and long prompts, half of each.
+    for (int i = 0; i < 300; ++i) {
+        record_prompt(v, "maps", i % 2 == 0 ? 9190 : 826, s);
+        if (i > 150) {
+            CHECK(count(dispatch::engine_role::any) == 0);
+        }
+    }
+    CHECK(count(dispatch::engine_role::short_prompts) == 2);
+    CHECK(count(dispatch::engine_role::long_prompts) == 6);
+    // A restarted engine gets its role again.
+    schema::upstream_announcement restarted = make_announcement(6, 1);
+    restarted.set_id("u0");
+    restarted.set_address("10.0.0.0:80");
+    restarted.set_service("maps");
+    (void)apply_announcement(v, restarted, now);
+    assign_roles(v, s);
+    CHECK(count(dispatch::engine_role::any) == 0);
+}
+
 TEST_CASE("an engine's load becomes stale when its beacons stop") {
     site_view v;
     (void)apply_announcement(v, make_announcement(5, 1), now);
     dispatch::upstream& u = v.upstreams.at("u");
     CHECK_FALSE(dispatch::load_is_stale(u, now));
-    dispatch::record_load(u, 0, 1, 3, now);
+    dispatch::record_load(u, 0, 1, 3, 0, now);
+    // An engine that was not asked owes no answer.
+    CHECK_FALSE(dispatch::load_is_stale(u, now + std::chrono::milliseconds(1000)));
+    dispatch::record_load_asked(u, now);
+    dispatch::record_load_asked(u, now + std::chrono::milliseconds(500));
     CHECK_FALSE(dispatch::load_is_stale(u, now + std::chrono::milliseconds(600)));
     CHECK(dispatch::load_is_stale(u, now + std::chrono::milliseconds(1000)));
     // The load from an old beacon is no longer used.
--- a/libs/gateway/tests/test_silent_upstreams.cpp
+++ b/libs/gateway/tests/test_silent_upstreams.cpp
@@ -24,6 +24,7 @@
                                       const std::string& model) {
     dispatch::upstream u = make_upstream(id, address, model);
     u.load.at = runtime::boot_now() - std::chrono::seconds(3);
+    u.load.asked_at = u.load.at;
     return u;
 }
 
--- a/libs/sidecar/src/beacon_sender.h
+++ b/libs/sidecar/src/beacon_sender.h
@@ -1,10 +1,13 @@
-// Sends the engine's load to gateways as UDP datagrams. Each one carries the full state, so a lost
-// one needs no retry. Used on the control loop only.
+// Sends the engine's load to gateways as UDP datagrams (beacons): at once to a gateway that asks
+// for it, and regularly to those that subscribe. Each beacon carries the full state, so a lost one
+// needs no retry. Used on the control loop only.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 
 #include "engine_link.h"
@@ -22,6 +25,12 @@
 private:
     boost::asio::awaitable<void> receive_subscriptions();
     boost::asio::awaitable<void> send_beacons();
+    // Sends a beacon to all gateways in `asking_`.
+    boost::asio::awaitable<void> answer_questions();
+    // Reads a report of the engine into `latest_`.
+    boost::asio::awaitable<void> refresh();
+    void send(const std::string& beacon, const boost::asio::ip::udp::endpoint& to);
+    [[nodiscard]] std::string latest_beacon();
 
     runtime::loop& loop_;
     engine_link& link_;
@@ -29,10 +38,21 @@
     boost::asio::ip::udp::socket socket_;
     // Time of the last subscription from each gateway.
     std::map<boost::asio::ip::udp::endpoint, time_point> subscribers_;
+    // Gateways that wait for one beacon.
+    std::set<boost::asio::ip::udp::endpoint> asking_;
+    bool answering_ = false;
+    time_point last_asked_at_{};
+    // Empty if the last call for a report failed.
+    std::optional<engine_report> latest_;
+    time_point latest_at_{};
+    bool engine_answers_ = true;
+    double average_reading_ = 0;
     std::uint64_t sequence_ = 0;
 };
 
-// Builds the beacon for a report. Adapters still being loaded are left out.
-[[nodiscard]] schema::engine_beacon beacon_of(const engine_report& r, std::uint64_t sequence);
+// Builds the beacon for a report. Adapters still being loaded are left out. `average_reading` is
+// the average number of prompts being read.
+[[nodiscard]] schema::engine_beacon beacon_of(const engine_report& r, std::uint64_t sequence,
+                                              double average_reading);
 
 }  // namespace burdockdeck::sidecar
