test_late_refusals: the engine that stopped reporting is one that was asked

Since loads are asked for, an engine's load is stale once a question has gone unanswered, not by the age of the last report. The stand-in had an old report and no question, so its load counted as fresh; the takeover began late and met the end of the pause by chance. The checks and times are unchanged.

--- a/libs/gateway/tests/test_late_refusals.cpp
+++ b/libs/gateway/tests/test_late_refusals.cpp
@@ -18,6 +18,7 @@
         dispatch::upstream first = make_upstream("u1", paused.address(), "m");
         if (!reports_load) {
             first.load.at = runtime::boot_now() - std::chrono::seconds(3);
+            first.load.asked_at = first.load.at;
         }
         f.add(first);
         dispatch::upstream next = make_upstream("u2", refusing.address(), "m");
