--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -3,6 +3,7 @@
 
 import ctypes
 import json
+import math
 import os
 import random
 import re
@@ -111,13 +112,15 @@
         self.log = os.path.join(site.folder, self.name + ".log")
         self.child = None
 
-    def start(self):
-        spec = self.site.deploy["roles"][self.role]
-        settings = self.machine.settings(self.role)
-        with open(os.path.join(ROOT, spec["template"])) as template:
-            text = render(template.read(), [settings])
+    def write_settings(self):
+        with open(os.path.join(ROOT, self.site.deploy["roles"][self.role]["template"])) as template:
+            text = render(template.read(), [self.machine.settings(self.role)])
         with open(self.settings_file, "w") as out:
             out.write(text)
+
+    def start(self):
+        spec = self.site.deploy["roles"][self.role]
+        self.write_settings()
         program, *arguments = spec["run"].split()
         arguments = [self.settings_file if a == "/etc/burdockdeck/settings.toml" else a for a in arguments]
         log = open(self.log, "ab")
@@ -140,10 +143,11 @@
 
 
 class Machine:
-    """An `edge` machine with a disk that runs control and a gateway, or a `side` machine with a sidecar."""
+    """An `edge` machine, which runs a gateway and may run control, or a `side` machine with a sidecar."""
 
-    def __init__(self, site, name, ip, zone, roles, seeds, app=None):
+    def __init__(self, site, name, ip, zone, roles, seeds, app=None, has_disk=True):
         self.site, self.name, self.ip, self.zone, self.seeds, self.app = site, name, ip, zone, seeds, app
+        self.has_disk = has_disk
         self.bootstrap = True
         self.disk = os.path.join(site.folder, "disk-" + name)
         self.processes = {role: Process(site, self, role) for role in roles}
@@ -152,13 +156,13 @@
         serves = self.site.deploy["roles"][role]["serves"]
         out = {"node": self.name, "role": role, "machine_class": "side" if self.app else "edge", "serves": serves,
                "ip": self.ip, "zone": self.zone, "region": "region-a", "port_range": PORT_RANGE,
-               "seeds": self.seeds, "bootstrap": self.bootstrap, "counts_as_loss": "control" in self.processes,
+               "seeds": self.seeds, "bootstrap": self.bootstrap, "counts_as_loss": "control" in self.processes and self.has_disk,
                "discovery": "registry", "entry": "vip", "heartbeat_ms": int(HEARTBEAT_S * 1000),
                "config_mode": "highest",
                "listen": {"front": f"{self.ip}:{FRONT_PORT}", "ready": f"{self.ip}:{READY_PORT}",
                           "control": f"{self.ip}:{CONTROL_PORT}"},
                "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}, "bounds": BOUNDS}
-        if role == "control":
+        if role == "control" and self.has_disk:
             os.makedirs(self.disk, exist_ok=True)
             out["data_dir"] = self.disk
         if self.app:
@@ -178,7 +182,8 @@
 
 
 class Site:
-    """`edges` machines with disk that run control and a gateway; `diskless` more run a gateway only."""
+    """`edges` machines with a disk, one in each zone; `diskless` more machines in each zone have none. Which of them run
+    control follows from `share` in the deploy file."""
 
     def __init__(self, folder, edges=3, diskless=0):
         self.record = Record(folder)
@@ -193,8 +198,11 @@
         self.seeds = [f"{ip}:{CONTROL_PORT}" for ip in ips[:3]]
         self.edges = [Machine(self, f"edge-{i + 1}", ip, ZONES[i % 3], ["control", "gateway"], self.seeds)
                       for i, ip in enumerate(ips)]
-        self.diskless = [Machine(self, f"entry-{i + 1}", f"{self.net}.{i + 21}", ZONES[i % 3], ["gateway"], self.seeds)
-                         for i in range(diskless)]
+        in_zone = math.ceil(self.deploy["roles"]["control"]["share"] * (1 + diskless))
+        self.diskless = [Machine(self, f"{zone}-{i + 2}", f"{self.net}.{20 * (z + 1) + i}", zone,
+                                 ["control", "gateway"] if i + 1 < in_zone else ["gateway"], self.seeds,
+                                 has_disk=False)
+                         for z, zone in enumerate(ZONES) for i in range(diskless)]
         self.sides = []
 
     def machines(self):
