--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -110,12 +110,13 @@
         self.id = f"i-{service}-{number}"
         self.state, self.sequence, self.alive = "ready", 0, True
         self.acknowledged = {}
-        self.ran = []
+        self.ran, self.port = [], 0
 
     async def start(self):
         self.born = int(time.time() * 1000)
         self.writers = set()
-        self.server = await asyncio.start_server(self.accept, self.ip, 0)
+        # A replica that starts again keeps its address.
+        self.server = await asyncio.start_server(self.accept, self.ip, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
         self.beats = asyncio.create_task(self.beat())
 
