--- a/review/5/case.py
+++ b/review/5/case.py
@@ -115,12 +115,14 @@
     fifth = crashes[4]
     bound = fifth + BOUNDS["stable_window_ms"] / 1000
     late = sum(at > bound for at in arrivals)
+    # Sound requests that a replica began, or may have begun, and whose answer never came whole.
+    lost = sum(status in (0, 502, 504) for at, status in sound if at >= bound)
     site.record("summary:", len(crashes), "crashes,", late, "requests with the part reach replicas later than",
-                "stable_window_ms after the fifth; sound requests served", round(share(began_at, began_at + 5.0), 2),
+                "stable_window_ms after the fifth;", lost, "sound requests accepted and lost; sound requests served", round(share(began_at, began_at + 5.0), 2),
                 "before,", round(share(fifth + 6.0, ends_at), 2), "after")
     if late > 3:
         return (f"BUDGET: {late} requests with the part reach replicas later than {BOUNDS['stable_window_ms']} ms after "
-                f"the fifth crash, {len(crashes)} crashes in all; sound requests are served "
+                f"the fifth crash, {len(crashes)} crashes in all; {lost} sound requests are accepted and lost; they are served "
                 f"{share(fifth + 6.0, ends_at):.2f} of the time, {share(began_at, began_at + 5.0):.2f} before")
     return None
 
