--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 
 from case import play
-from deployment import CONTROL_PORT, CannotRun, Machine, PORT_RANGE, ZONES
+from deployment import BOUNDS, CONTROL_PORT, CannotRun, Machine, PORT_RANGE, ZONES
 from standins import (ERRORS, MODEL, Client, Engine, Operator, call, engine_service, plain_service, ready, route,
                       wait_for, Replica)
 
@@ -67,6 +67,8 @@
         raise CannotRun("the first configuration is not served")
     for _ in range(5):
         await round_of_requests()
+    # Starts are long past, so that all machines are in touch.
+    await asyncio.sleep(2 * BOUNDS["stable_window_ms"] / 1000)
     if trouble:
         await other_writer(site)
     await asyncio.sleep(1.0)
@@ -90,4 +92,4 @@
     return None
 
 
-play(FOLDER, case)
+play(os.path.join(FOLDER, "record.txt"), case)
--- a/review/1/rounds.py
+++ b/review/1/rounds.py
@@ -81,4 +81,4 @@
     return None
 
 
-play(FOLDER, case, diskless=1)
+play(os.path.join(FOLDER, "record.txt"), case, diskless=1)
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -8,12 +8,12 @@
 from deployment import CannotRun, Site
 
 
-def play(folder, case, **site_options):
+def play(record_file, case, **site_options):
     """`case(site, trouble)` returns what was broken, or None. Exit status: 1 broken, 0 held, 2 could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     site = None
     try:
-        site = Site(folder, **site_options)
+        site = Site(record_file, **site_options)
 
         async def run():
             asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -34,11 +34,11 @@
 
 
 class Record:
-    """Writes record.txt: what was sent, answered and run, with seconds since the start."""
+    """Writes the record of a case: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, file):
         self.began_at = time.monotonic()
-        self.out = open(os.path.join(folder, "record.txt"), "w")
+        self.out = open(file, "w")
 
     def __call__(self, *words):
         self.out.write(f"{time.monotonic() - self.began_at:8.3f} " + " ".join(str(w) for w in words) + "\n")
@@ -185,8 +185,8 @@
     """`edges` machines with a disk, one in each zone; `diskless` more machines in each zone have none. Which of them run
     control follows from `share` in the deploy file."""
 
-    def __init__(self, folder, edges=3, diskless=0):
-        self.record = Record(folder)
+    def __init__(self, record_file, edges=3, diskless=0):
+        self.record = Record(record_file)
         self.folder = tempfile.mkdtemp(prefix="review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.deploy = tomllib.load(file)
