--- a/review/3/case.py
+++ b/review/3/case.py
@@ -79,4 +79,4 @@
     return None
 
 
-play(FOLDER, case)
+play(os.path.join(FOLDER, "record.txt"), case)
