--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,12 +10,14 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 
 from case import play
-from deployment import BOUNDS, CONTROL_PORT, CannotRun
+from deployment import CONTROL_PORT, CannotRun
 from standins import Client, Operator, Replica, plain_service, ready, route, wait_for
 
 SERVICES = [plain_service("orders")]
 DOWN_S = 0.95
-WATCH_S = 20.0
+# recovery_s of the site that claim.txt names.
+RECOVERY_S = 15
+WATCH_S = 18.0
 
 
 def change_seeds(site, seeds):
@@ -53,7 +55,7 @@
     if trouble:
         change_seeds(site, others)
     # Longer than seed_lag_s and stable_window_ms.
-    await asyncio.sleep(6.0)
+    await asyncio.sleep(8.0)
     client.log.clear()
     await round_of_requests()
     before = sum(entry[2] == 200 for entry in client.log)
@@ -65,7 +67,7 @@
     await asyncio.sleep(DOWN_S)
     for machine in machines:
         machine.start()
-    await asyncio.sleep(BOUNDS["recovery_s"])
+    await asyncio.sleep(RECOVERY_S)
     client.log.clear()
     until = time.monotonic() + WATCH_S
     while time.monotonic() < until:
@@ -82,9 +84,9 @@
         raise CannotRun("too little was served before the final fault")
     if 4 * served < len(client.log):
         return (f"RECOVER: {served} of {len(client.log)} requests are served that were sent later than "
-                f"{BOUNDS['recovery_s']} s after the machines are back, {before} of {len(machines)} before; "
+                f"{RECOVERY_S} s after the machines are back, {before} of {len(machines)} before; "
                 f"{are_ready} of {len(machines)} machines are ready")
     return None
 
 
-play(FOLDER, case, diskless=5)
+play(os.path.join(FOLDER, "record.txt"), case, diskless=5)
