--- a/review/5/case.py
+++ b/review/5/case.py
@@ -21,7 +21,7 @@
 
 
 class CrashingEngine(Engine):
-    """Ends when it begins to write an answer on the deadly part, and is back after 1 to 2 s with a new id."""
+    """Ends when it begins to write an answer on the deadly part, and is back after 2 to 4 s with a new id."""
 
     crashes, deadly_arrivals, generation = [], [], 0
 
@@ -39,17 +39,16 @@
                          "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode() +
                          b"%x\r\n" % len(event) + event + b"\r\n")
             await asyncio.sleep(0.005)
-            self.crashes.append(time.monotonic())
-            self.site.record(self.id, "crashes")
-            asyncio.get_running_loop().create_task(self.crash())
+            if self.alive:
+                self.crashes.append(time.monotonic())
+                self.site.record(self.id, "crashes")
+                self.stop()
+                asyncio.get_running_loop().create_task(self.come_back())
             return
         await super().answer(words, headers, body, reader, writer)
 
-    async def crash(self):
-        if not self.alive:
-            return
-        self.stop()
-        await asyncio.sleep(random.uniform(1.0, 2.0))
+    async def come_back(self):
+        await asyncio.sleep(random.uniform(2.0, 4.0))
         self.generation += 1
         self.id = f"{self.id.split('.')[0]}.{self.generation}"
         self.state, self.sequence, self.alive = "ready", 0, True
@@ -127,4 +126,4 @@
     return None
 
 
-play(FOLDER, case)
+play(os.path.join(FOLDER, "record.txt"), case)
