Ids that are not UTF-8 are refused; text from callers and upstreams is checked before it enters a message

Cause: the id went into a protobuf string, which receivers cannot parse. Each update and relay of every control instance held it, so that each watch ended and began again with the same message. Evidence: control_lost at every heartbeat of the watch, while control acknowledges and reads back. Ruled out: control does not serve; gateways refuse the text (they never fetch it). Change: checked where the platform's bytes are decoded. A path whose id is not UTF-8 is answered 400.

--- a/libs/agent/src/answer_sink.cpp
+++ b/libs/agent/src/answer_sink.cpp
@@ -1,6 +1,7 @@
 // Separates refusals from answers, and complete events from the rest of a stream.
 #include "answer_sink.h"
 
+#include "base/text.h"
 #include "upstream_protocol.h"
 
 namespace burdockdeck::agent {
@@ -21,7 +22,8 @@
     status_ = status;
     runtime::http_request probe;
     probe.headers = headers;
-    const std::string content_type(probe.header("Content-Type"));
+    // The entry parses only messages whose text is UTF-8.
+    const std::string content_type = to_utf8(probe.header("Content-Type"));
     events_ = content_type.starts_with("text/event-stream");
     ends_with_connection_ =
         probe.header("Content-Length").empty() && probe.header("Transfer-Encoding").empty();
--- a/libs/control/include/control/site_protocol.h
+++ b/libs/control/include/control/site_protocol.h
@@ -18,7 +18,9 @@
     announce,
     leave,
     unknown,
-    wrong_method
+    wrong_method,
+    // The target holds bytes that are not text.
+    malformed
 };
 
 struct site_call {
--- a/libs/control/src/site_http.cpp
+++ b/libs/control/src/site_http.cpp
@@ -199,6 +199,9 @@
         case site_call_kind::wrong_method:
             refuse(i, 405, "method not allowed", done);
             return;
+        case site_call_kind::malformed:
+            refuse(i, 400, "the target is not UTF-8", done);
+            return;
         case site_call_kind::unknown:
             refuse(i, 404, "no such endpoint", done);
             return;
--- a/libs/entry/src/work.cpp
+++ b/libs/entry/src/work.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "base/text.h"
 #include "document/document.h"
 
 namespace burdockdeck::entry {
@@ -158,6 +159,10 @@
 result<work, refusal> parse_request(const runtime::http_request& r,
                                     const confirmed_document& confirmed,
                                     const entry_settings& settings, time_point now) {
+    // Target and content type go into messages whose receivers parse only UTF-8.
+    if (!is_utf8(r.target) || !is_utf8(r.header("Content-Type"))) {
+        return refusal{400, "the target and the header Content-Type must be UTF-8"};
+    }
     work w;
     w.request_id = request_id_of(r);
     w.method = r.method;
--- a/libs/entry/tests/test_work.cpp
+++ b/libs/entry/tests/test_work.cpp
@@ -60,6 +60,19 @@
 
 }  // namespace
 
+// Guards against a call that the agent cannot parse.
+TEST_CASE("a target or content type that is not UTF-8 is refused") {
+    runtime::http_request service;
+    service.method = "POST";
+    service.target = "/services/orders/\xFF\xFE";
+    CHECK(refused_status(service) == 400);
+    service.target = "/services/orders/quote";
+    service.headers = {{"Content-Type", "text/\xED\xA0\x80"}};
+    CHECK(refused_status(service) == 400);
+    service.headers = {{"Content-Type", "text/plain"}};
+    CHECK(refused_status(service) == 0);
+}
+
 // Guards against 404 for a model that only a newer document declares while control is unreachable:
 // the entry must answer 503 once its document is no longer confirmed.
 TEST_CASE("an undeclared target gives 404 only while the document is confirmed as the newest") {
