Instances without a data folder tell where the members are and redirect calls to them

Cause: such an instance opened no port; gateways and joining instances know only their seeds, and the members told nobody. The same instances refused operators and upstreams that picked them. Change: they keep a directory of the members, which report themselves to the seeds, and answer gateways (watch_site), joining instances (join), operators and upstreams (307 to the leader, or to a member that it hears; 503 without a report in 3 s). It works since the members know each other from their disks and the seeds from their settings. Weighed: forwarding (a second hop that can lose the answer, on a small share of a processor), placement by count.

--- a/libs/control/include/control/server.h
+++ b/libs/control/include/control/server.h
@@ -39,9 +39,10 @@
 
 private:
     struct state;
-    // Creates an instance of a site without a data folder, which serves only its metrics.
-    [[nodiscard]] static result<std::unique_ptr<control_server>, control_error> create_idle(
-        const control_settings& settings, const runtime::rpc_access& access);
+    // Creates an instance of a site without a data folder, which only tells where the others are.
+    [[nodiscard]] static result<std::unique_ptr<control_server>, control_error> create_directory(
+        const control_settings& settings, const runtime::rpc_access& access,
+        site_protocol protocol);
     explicit control_server(std::unique_ptr<state> s);
     std::unique_ptr<state> state_;
 };
--- a/libs/control/src/instance.h
+++ b/libs/control/src/instance.h
@@ -20,6 +20,7 @@
 class update_stream;
 using watcher = update_stream<schema::table_update>;
 
+struct directory;
 struct site_state;
 
 struct instance {
@@ -40,6 +41,8 @@
     time_point isolated_since{};
     // Set if the settings have a `site`.
     std::shared_ptr<site_state> site;
+    // Set if the settings have a `site` but no data folder; `raft` and `site` are then null.
+    std::shared_ptr<directory> members;
     bool replacing = false;
     bool stopping = false;
 };
--- a/libs/control/src/peer_service.cpp
+++ b/libs/control/src/peer_service.cpp
@@ -1,5 +1,6 @@
 // Calls between control instances: consensus messages, identity, founding, read index, joining and
 // relayed announcements.
+#include "directory.h"
 #include "runtime/log.h"
 #include "services.h"
 #include "site.h"
@@ -91,6 +92,15 @@
         });
     }
 
+    grpc::ServerUnaryReactor* exchange_members(grpc::CallbackServerContext* context,
+                                               const rpc::member_list*,
+                                               rpc::member_list* reply) override {
+        return on_loop(instance_, context, [this, reply](auto* reactor) {
+            *reply = report_members(instance_);
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
 private:
     void answer_found(const rpc::found_request& request, rpc::found_reply& reply) {
         const bool resent = !request.operation_id().empty() &&
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -1,6 +1,7 @@
 // Creates the parts of one control instance and connects them.
 #include "control/server.h"
 
+#include "directory.h"
 #include "instance.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -94,7 +95,7 @@
         return control_error{to_text(error(access))};
     }
     if (settings.data_folder.empty()) {
-        return create_idle(settings, value(access));
+        return create_directory(settings, value(access), std::move(*protocol));
     }
     storage::contents found;
     auto store = storage::store::open(settings.data_folder, found);
@@ -157,14 +158,35 @@
     return std::unique_ptr<control_server>(new control_server(std::move(s)));
 }
 
-// Without a disk, acknowledged changes would not be durable. The other ports stay closed, so that
-// callers turn to another instance at once.
-result<std::unique_ptr<control_server>, control_error> control_server::create_idle(
-    const control_settings& settings, const runtime::rpc_access& access) {
+// Without a disk, acknowledged changes would not be durable.
+result<std::unique_ptr<control_server>, control_error> control_server::create_directory(
+    const control_settings& settings, const runtime::rpc_access& access, site_protocol protocol) {
     auto s = std::make_unique<state>(settings, access);
-    s->http = start_metrics_server(settings, s->http_loops, s->shared);
-    log_event(severity::warning, event::started,
-              {{"name", settings.name}, {"idle", "no data folder is set"}});
+    instance& i = s->shared;
+    i.members = std::make_shared<directory>();
+    i.members->seeds = settings.site->seeds;
+    s->peer_service = make_directory_peer_service(i);
+    s->control_service = make_directory_control_service(i);
+    auto server = runtime::start_server(to_text(settings.listen), access,
+                                        {s->peer_service.get(), s->control_service.get()});
+    if (!succeeded(server)) {
+        return control_error{error(server).message};
+    }
+    s->server = std::move(value(server));
+    s->http = start_metrics_server(settings, s->http_loops, i);
+    auto site_http = runtime::http_server::listen(
+        settings.site->listen, s->http_loops, site_http_limits(),
+        [&i, protocol = std::make_shared<site_protocol>(std::move(protocol))](
+            runtime::http_exchange& e) { return redirect_site_call(i, *protocol, e); });
+    if (!succeeded(site_http)) {
+        return control_error{error(site_http).message};
+    }
+    s->site_http = std::move(value(site_http));
+    i.loop.post([&i] { start_directory(i); });
+    log_event(severity::info, event::started,
+              {{"name", settings.name},
+               {"listen", to_text(settings.listen)},
+               {"directory", "no data folder is set"}});
     return std::unique_ptr<control_server>(new control_server(std::move(s)));
 }
 
@@ -181,6 +203,8 @@
         }
         if (state_->site_http) {
             state_->site_http->stop_accepting();
+        }
+        if (i.site) {
             end_site_watches(i);
         }
         finished();
@@ -192,6 +216,9 @@
     if (settings.site && i.site) {
         i.loop.post([&i, seeds = settings.site->seeds] { i.site->seeds = seeds; });
     }
+    if (settings.site && i.members) {
+        i.loop.post([&i, seeds = settings.site->seeds] { i.members->seeds = seeds; });
+    }
 }
 
 }  // namespace burdockdeck::control
--- a/libs/control/src/settings.cpp
+++ b/libs/control/src/settings.cpp
@@ -33,7 +33,7 @@
     s.listen = get_endpoint(reader, "listen");
     s.advertise = reader.has("advertise") ? get_endpoint(reader, "advertise") : s.listen;
     s.http_listen = get_endpoint(reader, "http_listen");
-    // An instance of a site may run on a host without a disk; it then serves only its metrics.
+    // An instance of a site may run on a host without a disk; it then stores nothing.
     s.data_folder = reader.has("site") ? reader.get_string("data_folder", "")
                                        : reader.get_string("data_folder");
     s.access = get_access_settings(reader);
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -1,6 +1,7 @@
 // Merges and relays announcements, and keeps watching gateways up to date.
 #include "site.h"
 
+#include "directory.h"
 #include "quarantine/news.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -213,6 +214,7 @@
 
 void start_site(instance& i) {
     start_joining(i);
+    start_reporting_to_seeds(i);
     start_planning(i);
     runtime::spawn(i.loop, [&i] { return run_maintenance(i); });
     runtime::spawn(i.loop, [&i] { return recover_upstreams(i); });
--- a/libs/control/src/site_http.cpp
+++ b/libs/control/src/site_http.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "directory.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
 #include "site.h"
@@ -208,16 +209,34 @@
     }
 }
 
-}  // namespace
-
-runtime::http_limits site_http_limits() {
-    runtime::http_limits limits;
-    limits.body_bytes = max_deployment_bytes;
-    limits.idle_timeout = idle_connection_timeout;
-    return limits;
+http_response redirect(instance& i, const site_protocol& protocol,
+                       const runtime::http_request& request) {
+    const auto refuse_call = [&](unsigned status, std::string_view message) {
+        return response_of(status, protocol.encode_error(message));
+    };
+    const site_call_kind kind = protocol.classify_call(request.method, request.target).kind;
+    if (kind == site_call_kind::malformed) {
+        return refuse_call(400, "the target is not UTF-8");
+    }
+    const bool from_upstream = kind == site_call_kind::announce || kind == site_call_kind::leave;
+    const auto target = redirect_target(
+        *i.members, from_upstream ? redirect_kind::to_any_member : redirect_kind::to_leader,
+        runtime::boot_now());
+    const auto at = target ? settings::parse_endpoint(*target) : std::nullopt;
+    i.metrics.count("burdockdeck_site_redirects_total", at ? "found=yes" : "found=no");
+    if (!at) {
+        return refuse_call(503, "this instance stores nothing and hears no other instance");
+    }
+    http_response response = response_of(307);
+    const settings::endpoint site{at->ip, i.settings.site->listen.port};
+    response.headers.emplace_back("Location", "http://" + to_text(site) + request.target);
+    return response;
 }
 
-boost::asio::awaitable<void> answer_site_call(instance& i, runtime::http_exchange& exchange) {
+// Runs `answer` on the control loop and sends the response that it hands over.
+boost::asio::awaitable<void> answer_call(
+    instance& i, runtime::http_exchange& exchange,
+    std::function<void(const runtime::http_request&, const answer_callback&)> answer) {
     const auto executor = co_await boost::asio::this_coro::executor;
     http_response response =
         co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>&,
@@ -230,10 +249,34 @@
                     });
                 };
                 const runtime::http_request& request = exchange.request();
-                i.loop.post([&i, &request, done] { answer_on_loop(i, request, done); });
+                i.loop.post([&request, done, &answer] { answer(request, done); });
             },
             boost::asio::use_awaitable);
     (void)co_await exchange.respond(std::move(response));
 }
 
+}  // namespace
+
+runtime::http_limits site_http_limits() {
+    runtime::http_limits limits;
+    limits.body_bytes = max_deployment_bytes;
+    limits.idle_timeout = idle_connection_timeout;
+    return limits;
+}
+
+boost::asio::awaitable<void> answer_site_call(instance& i, runtime::http_exchange& exchange) {
+    std::function<void(const runtime::http_request&, const answer_callback&)> answer =
+        [&i](const auto& request, const auto& done) { answer_on_loop(i, request, done); };
+    return answer_call(i, exchange, std::move(answer));
+}
+
+boost::asio::awaitable<void> redirect_site_call(instance& i, const site_protocol& protocol,
+                                                runtime::http_exchange& exchange) {
+    std::function<void(const runtime::http_request&, const answer_callback&)> answer =
+        [&i, &protocol](const auto& request, const auto& done) {
+            done(redirect(i, protocol, request));
+        };
+    return answer_call(i, exchange, std::move(answer));
+}
+
 }  // namespace burdockdeck::control
--- a/libs/gateway/src/site_client.cpp
+++ b/libs/gateway/src/site_client.cpp
@@ -29,6 +29,8 @@
 constexpr duration watch_timeout = std::chrono::milliseconds(1300);
 constexpr duration initial_backoff = std::chrono::milliseconds(100);
 constexpr duration max_backoff = std::chrono::milliseconds(1500);
+// Interval at which a directory is asked again while members are connected.
+constexpr duration directory_interval = std::chrono::seconds(10);
 // Time until crashes are reported again to an instance that did not take them.
 constexpr duration report_retry_delay = std::chrono::milliseconds(500);
 constexpr duration report_timeout = std::chrono::milliseconds(800);
@@ -77,8 +79,12 @@
     std::uint64_t serial = 0;
     time_point last_update_at{};
     time_point last_listed_at{};
-    time_point retry_at{};
+    // When its last watch ended, and the time until the next one.
+    time_point ended_at{};
+    duration retry_after{};
     duration backoff = initial_backoff;
+    // It has no data folder and tells only where others are.
+    bool directory = false;
     bool connected = false;
     bool leading = false;
     // The end of the last time without `leading`.
@@ -156,6 +162,13 @@
         }
         const time_point now = runtime::boot_now();
         c.last_update_at = now;
+        for (const std::string& other : update.control_addresses()) {
+            mark_listed(other, now);
+        }
+        c.directory = update.directory();
+        if (c.directory) {
+            return;
+        }
         c.backoff = initial_backoff;
         if (update.leading() && !c.leading) {
             c.leading_since = now;
@@ -169,9 +182,6 @@
             log_event(severity::info, event::control_regained,
                       {{"control", address}, {"version", update.version()}});
         }
-        for (const std::string& other : update.control_addresses()) {
-            mark_listed(other, now);
-        }
         // An instance that is not up to date may be far behind, so updates are held until one from
         // an up-to-date instance has arrived.
         deferred_updates.push_back(std::move(update));
@@ -309,17 +319,26 @@
         c.channel.reset();
         find_leader();
         std::uniform_real_distribution<double> jitter(0.5, 1.0);
-        c.retry_at =
-            runtime::boot_now() + std::chrono::duration_cast<duration>(c.backoff * jitter(rng));
+        c.ended_at = runtime::boot_now();
+        c.retry_after = std::chrono::duration_cast<duration>(c.backoff * jitter(rng));
         c.backoff = std::min(c.backoff * 2, max_backoff);
     }
 
+    // True if a watch may be opened again. While members are connected, a directory has no news.
+    [[nodiscard]] static bool is_due(const control_instance& c, bool member_connected,
+                                     time_point now) {
+        const duration pause = c.directory && member_connected ? directory_interval : c.retry_after;
+        return now - c.ended_at >= pause;
+    }
+
     void check_watches(time_point now) {
         mark_seeds_listed(now);
+        const bool member_connected = std::any_of(instances.begin(), instances.end(),
+                                                  [](const auto& i) { return i.second.connected; });
         for (auto& [address, c] : instances) {
             if (c.call && now - c.last_update_at > watch_timeout) {
                 handle_watch_loss(address, c.serial, "silent");
-            } else if (!c.call && now >= c.retry_at) {
+            } else if (!c.call && is_due(c, member_connected, now)) {
                 open_watch(address, c, now);
             }
         }
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -87,9 +87,10 @@
     request_quarantined,
     answer_header_invalid,
     upstream_notice,
+    members_learnt,
 };
 
-inline constexpr name_table<event, 74> event_names{{
+inline constexpr name_table<event, 75> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -164,6 +165,7 @@
     {event::request_quarantined, "request_quarantined"},
     {event::answer_header_invalid, "answer_header_invalid"},
     {event::upstream_notice, "upstream_notice"},
+    {event::members_learnt, "members_learnt"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
