Gateways: engines that share an address are one; earlier incarnations are withdrawn; readiness needs the traffic loop

Cause: short_prompt_engines adds addresses to a set until it has a share of the number of engines, which never comes with four times as many engines as addresses. Evidence: the traffic thread uses a whole core in that loop. Change: addresses are counted once. A gateway withdraws earlier incarnations at an address itself; of those with one start time the first keeps the address, here and at control. Gateways keep and report the demand for declared models only, since callers may name any model.

--- a/libs/dispatch/include/dispatch/roles.h
+++ b/libs/dispatch/include/dispatch/roles.h
@@ -28,7 +28,8 @@
 };
 
 // Addresses of the engines for short prompts; empty if the service is not divided. Deterministic:
-// processes with the same set of engines compute the same result without coordination. The result
+// processes with the same set of engines compute the same result without coordination. Entries with
+// one address count as one engine. The result
 // is spread over failure domains and changes little when an engine is added or removed.
 [[nodiscard]] std::set<std::string> short_prompt_engines(const std::vector<engine_location>& all,
                                                          const role_settings& s);
--- a/libs/dispatch/tests/test_roles.cpp
+++ b/libs/dispatch/tests/test_roles.cpp
@@ -55,6 +55,19 @@
     CHECK(short_prompt_engines(engine_locations(3), settings).empty());
 }
 
+// Guards against a gateway that hangs because more engines are announced than there are addresses.
+TEST_CASE("engines that share an address count as one") {
+    std::vector<engine_location> all = engine_locations(6);
+    const std::set<std::string> chosen = short_prompt_engines(all, settings);
+    for (int i = 0; i < 40; ++i) {
+        all.push_back({all[0].address, "d" + std::to_string(i % 3)});
+    }
+    CHECK(short_prompt_engines(all, settings).size() == chosen.size());
+    const std::vector<engine_location> one_address(40, all[0]);
+    CHECK(short_prompt_engines(one_address, settings).empty());
+    CHECK(short_prompt_engines(engine_locations(5), {2000, 1.0, 4}).size() == 5);
+}
+
 TEST_CASE("removing one engine changes the role of few others") {
     const std::vector<engine_location> all = engine_locations(12);
     const std::set<std::string> before = short_prompt_engines(all, settings);
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -122,6 +122,9 @@
     // Also read by the loop that answers readiness checks.
     std::atomic<bool> ready{false};
     std::atomic<bool> draining{false};
+    // When the traffic loop last ran a task; read by that loop too.
+    std::atomic<std::chrono::steady_clock::time_point> traffic_ran_at{
+        std::chrono::steady_clock::now()};
 
     // Declared last, so that the loops are destroyed first: requests that are still open are
     // destroyed with their loop and access the members above.
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -11,6 +11,7 @@
 #include "core.h"
 #include "drain.h"
 #include "quarantine.h"
+#include "readiness.h"
 #include "request.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -89,7 +90,7 @@
     runtime::http_response response;
     const runtime::http_request& request = exchange.request();
     if (c.protocol.is_readiness_check(request.method, request.target)) {
-        const bool ready = c.ready && !c.draining;
+        const bool ready = is_ready(c, std::chrono::steady_clock::now());
         response.status = ready ? 200 : 503;
         response.body = ready ? "{}" : R"({"error":"not ready"})";
     } else if (request.path() == "/metrics") {
@@ -113,6 +114,11 @@
     });
 }
 
+bool is_declared(const deployment::site& deployed, const demand_key& key) {
+    const deployment::service_spec* service = deployment::find_service(deployed, key.service);
+    return service != nullptr && deployment::find_model(service->engine, key.model) != nullptr;
+}
+
 void log_upstream(const schema::upstream_announcement& a) {
     log_event(severity::info, event::upstream_changed,
               {{"upstream", a.id()},
@@ -231,8 +237,15 @@
         report.set_gateway(gateway_core.settings.name);
         report.set_window_ms(static_cast<std::uint32_t>(to_milliseconds(now - last_report_at)));
         last_report_at = now;
+        // Callers may name any model, so entries of undeclared ones are not kept.
+        std::erase_if(gateway_core.demand, [&](const auto& item) {
+            const auto& [key, counts] = item;
+            const bool idle = counts.arrivals == 0 && counts.unplaced == 0;
+            return counts.in_flight == 0 && (idle || !is_declared(gateway_core.view.current, key));
+        });
         for (auto& [key, counts] : gateway_core.demand) {
-            if (key.model.empty() || (counts.arrivals == 0 && counts.in_flight == 0)) {
+            if (!is_declared(gateway_core.view.current, key) ||
+                (counts.arrivals == 0 && counts.in_flight == 0)) {
                 continue;
             }
             rpc::model_load& load = *report.add_models();
@@ -388,6 +401,7 @@
         return gateway_error{failed};
     }
     runtime::spawn(c.traffic, [self] { return self->run_maintenance(); });
+    runtime::spawn(c.traffic, [self] { return record_traffic_progress(self->gateway_core); });
     runtime::spawn(c.traffic,
                    [self] { return accept_callers(self->gateway_core, self->acceptor); });
     log_event(severity::info, event::started,
--- a/libs/gateway/src/site_view.cpp
+++ b/libs/gateway/src/site_view.cpp
@@ -24,6 +24,40 @@
     u.weights_on_disk = {a.on_disk().begin(), a.on_disk().end()};
 }
 
+// The other upstreams that were announced at the address of `a` and still accept requests.
+std::vector<dispatch::upstream*> others_at_address(site_view& v,
+                                                   const schema::upstream_announcement& a) {
+    std::vector<dispatch::upstream*> out;
+    const auto at = settings::parse_endpoint(a.address());
+    const auto ids = at ? v.ids_by_ip.find(at->ip) : v.ids_by_ip.end();
+    if (ids == v.ids_by_ip.end()) {
+        return out;
+    }
+    for (const std::string& id : ids->second) {
+        const auto found = v.upstreams.find(id);
+        if (id != a.id() && found != v.upstreams.end() && found->second.accepting &&
+            found->second.address == a.address()) {
+            out.push_back(&found->second);
+        }
+    }
+    return out;
+}
+
+// Control may have forgotten the earlier incarnations at an address, so that it does not report
+// them as gone. Withdraws them; false if the address belongs to a newer incarnation, or to one that
+// started at the same time and was known first.
+bool take_address(site_view& v, const schema::upstream_announcement& a) {
+    bool taken = true;
+    for (dispatch::upstream* other : others_at_address(v, a)) {
+        if (other->born_ms < a.born_ms()) {
+            other->accepting = false;
+        } else {
+            taken = false;
+        }
+    }
+    return taken;
+}
+
 // Factor by which earlier prompts count less with each one.
 constexpr double prompt_decay = 0.98;
 // Share of long prompts in all prompt tokens from which on engines are divided.
@@ -139,7 +173,7 @@
     u.service = a.service();
     u.failure_domain = a.failure_domain();
     u.slots = a.slots();
-    u.accepting = !withdrawn && !was_withdrawn;
+    u.accepting = !withdrawn && !was_withdrawn && take_address(v, a);
     u.cold_until = a.cold_ms() > 0 ? now + std::chrono::milliseconds(a.cold_ms()) : time_point{};
     u.leaves_at =
         a.leaves_ms() > 0 ? now + std::chrono::milliseconds(a.leaves_ms()) : time_point::max();
--- a/libs/gateway/src/site_view.h
+++ b/libs/gateway/src/site_view.h
@@ -74,7 +74,8 @@
                    const dispatch::role_settings& s);
 // Applies an announcement that is newer than the last one applied, or equally new and states that
 // the upstream is not ready; an older one only withdraws its incarnation. An incarnation that was
-// withdrawn stays so. True if the view changed.
+// withdrawn stays so. An address belongs to its newest incarnation; older ones there are withdrawn.
+// True if the view changed.
 bool apply_announcement(site_view& v, const schema::upstream_announcement& a, time_point now);
 
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -100,6 +100,29 @@
     CHECK_FALSE(apply_announcement(v, make_announcement(4, 9), now));
 }
 
+// Guards against gateways that keep every incarnation of an upstream because control has forgotten
+// the earlier ones.
+TEST_CASE("a new incarnation withdraws the earlier ones at its address") {
+    site_view v;
+    const auto announce = [&](const std::string& id, std::uint64_t born,
+                              const std::string& address) {
+        schema::upstream_announcement a = make_announcement(born, 1);
+        a.set_id(id);
+        a.set_address(address);
+        (void)apply_announcement(v, a, now);
+        return v.upstreams.at(id).accepting;
+    };
+    CHECK(announce("a", 5, "10.0.0.9:80"));
+    CHECK(announce("other port", 5, "10.0.0.9:81"));
+    CHECK(announce("b", 6, "10.0.0.9:80"));
+    CHECK_FALSE(v.upstreams.at("a").accepting);
+    CHECK(v.upstreams.at("other port").accepting);
+    // A late announcement of an earlier one, and one with the same start time.
+    CHECK_FALSE(announce("c", 4, "10.0.0.9:80"));
+    CHECK_FALSE(announce("d", 6, "10.0.0.9:80"));
+    CHECK(v.upstreams.at("b").accepting);
+}
+
 TEST_CASE("a restart under the same id resets the cached prefixes and the health of an upstream") {
     site_view v;
     (void)apply_announcement(v, make_announcement(5, 2), now);
--- a/libs/registry/src/registry.cpp
+++ b/libs/registry/src/registry.cpp
@@ -38,9 +38,17 @@
     }
 }
 
-bool address_has_newer(const registry& r, const upstream_announcement& a) {
+// True if the address of `a` belongs to another incarnation: a newer one, or one that started at the
+// same time, was known first and has not left.
+bool address_is_taken(const registry& r, const upstream_announcement& a) {
     for (const auto& [id, e] : r.upstreams) {
-        if (id != a.id() && e.latest.address() == a.address() && e.latest.born_ms() > a.born_ms()) {
+        const upstream_announcement& other = e.latest;
+        if (id == a.id() || other.address() != a.address()) {
+            continue;
+        }
+        const bool known_first =
+            other.born_ms() == a.born_ms() && other.state() != schema::announced_gone;
+        if (other.born_ms() > a.born_ms() || known_first) {
             return true;
         }
     }
@@ -82,7 +90,7 @@
             return merge_result::outdated;
         }
     }
-    if (a.state() != schema::announced_gone && address_has_newer(r, a)) {
+    if (a.state() != schema::announced_gone && address_is_taken(r, a)) {
         return merge_result::outdated;
     }
     upstream_entry& e = r.upstreams[a.id()];
--- a/libs/registry/tests/test_registry.cpp
+++ b/libs/registry/tests/test_registry.cpp
@@ -43,6 +43,16 @@
     CHECK(r.changes == 1);
 }
 
+// Guards against many entries of another writer that count as one upstream each.
+TEST_CASE("of incarnations with one address and start time only the first is kept") {
+    registry::registry r;
+    CHECK(merge(r, announce("a", 5, 1), start) == merge_result::changed);
+    CHECK(merge(r, announce("b", 5, 1), start) == merge_result::outdated);
+    CHECK(merge(r, announce("a", 5, 2), start) == merge_result::refreshed);
+    merge(r, announce("a", 5, 3, schema::announced_gone), start);
+    CHECK(merge(r, announce("b", 5, 2), start) == merge_result::changed);
+}
+
 TEST_CASE("a draining upstream does not become ready again within the same incarnation") {
     registry::registry r;
     merge(r, announce("a", 5, 1), start);
