A voter that is told to stop passes its vote on to an instance that has caught up

Cause: a voter ended at once with its vote; the leader replaces silent voters only after 1.5 s and needs a majority for it. Change: a stopping member tells the leader until it may stop; the leader puts a learner that has caught up in its place by one joint change, and does the same for itself. Nobody waits where no learner can take the vote, or longer than half of the grace time. It works since the majority is complete before the process ends. Weighed: removing the voter without a successor (bears fewer losses afterwards).

--- a/libs/consensus/include/consensus/node.h
+++ b/libs/consensus/include/consensus/node.h
@@ -152,6 +152,8 @@
 // The last configuration in the log, committed or not.
 [[nodiscard]] const schema::configuration& members_of(const node& n);
 [[nodiscard]] bool is_voter(const node& n, node_id id);
+// True until the last configuration in the log is committed and has no `outgoing` voters.
+[[nodiscard]] bool change_under_way(const node& n);
 // True if the node is the leader, or received a message from one within `election_max`.
 [[nodiscard]] bool in_contact(const node& n, time_point now);
 // True if the node has delivered all entries that were committed up to 2 * `election_max` ago: the
--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -171,6 +171,11 @@
     return contains(members.voters(), id) || contains(members.outgoing(), id);
 }
 
+bool change_under_way(const node& n) {
+    const configuration_at& last = n.configurations.back();
+    return last.index > n.commit || !last.members.outgoing().empty();
+}
+
 bool in_contact(const node& n, time_point now) {
     if (n.current_role == role::leader) {
         return true;
--- a/libs/control/include/control/server.h
+++ b/libs/control/include/control/server.h
@@ -32,7 +32,8 @@
         std::optional<site_protocol> protocol = std::nullopt);
     ~control_server();
 
-    // Ends watches and pending calls, then calls `finished`.
+    // Hands this instance's vote over to another one if the settings have a `site`. Then ends
+    // watches and pending calls, and calls `finished`.
     void stop(std::function<void()> finished);
     // Applies the settings that may change while running: the seeds.
     void reload(const control_settings& settings);
--- a/libs/control/include/control/settings.h
+++ b/libs/control/include/control/settings.h
@@ -28,6 +28,8 @@
     std::uint32_t voters = 3;
     // A voter that has been silent for this long is replaced by an instance that requests to join.
     duration lost_after = std::chrono::milliseconds(1500);
+    // Longest time that a stopping voter waits for another instance to take its vote.
+    duration handover_timeout = std::chrono::milliseconds(4000);
     // Approximate interval between an upstream's announcements.
     duration announce_interval = std::chrono::milliseconds(1200);
     // Period over which the number of loads from the weight store is limited.
--- a/libs/control/src/joiner.cpp
+++ b/libs/control/src/joiner.cpp
@@ -1,4 +1,6 @@
-// Automatic membership: founding from seeds, joining, and replacement of lost voters.
+// Automatic membership: founding from seeds, joining, and replacement of lost and departing voters.
+#include <algorithm>
+
 #include "base/checksum.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
@@ -18,6 +20,9 @@
 // A member without contact to a leader for this long requests to join again, in case it was
 // removed.
 constexpr duration rejoin_after = std::chrono::milliseconds(1500);
+// Interval at which a departing voter asks the leader whether it may stop.
+constexpr duration leave_interval = std::chrono::milliseconds(50);
+constexpr duration leave_timeout = std::chrono::milliseconds(300);
 // A learner that has been silent for this long is removed.
 constexpr duration learner_timeout = std::chrono::seconds(10);
 // A learner becomes a voter only if it has sent a message within this time.
@@ -135,6 +140,28 @@
     }
 }
 
+boost::asio::awaitable<bool> ask_to_leave(instance& i, std::string leader) {
+    const std::shared_ptr<rpc::control_peer::Stub> stub = peer_stub(i, leader);
+    const auto start = [&stub](auto... arguments) { stub->async()->leave(arguments...); };
+    rpc::leave_request request;
+    request.set_node_id(i.raft->identity().node_id());
+    auto answer = co_await runtime::call_unary<rpc::leave_reply>(
+        i.loop.context(), i.access, std::move(request), leave_timeout, start);
+    if (!succeeded(answer)) {
+        i.site->peers[leader].stub.reset();
+        co_return false;
+    }
+    co_return value(answer).may_stop();
+}
+
+// True if this instance has a vote that a learner could take, as far as it knows.
+bool may_pass_vote(const instance& i) {
+    const consensus::node& n = *i.raft->node();
+    const bool learners_known = !consensus::members_of(n).learners().empty();
+    return consensus::change_under_way(n) ||
+           (learners_known && consensus::is_voter(n, i.raft->identity().node_id()));
+}
+
 const schema::control_member* member_at(const schema::configuration& members,
                                         const std::string& address, consensus::node_id except) {
     for (const schema::control_member& m : members.voters()) {
@@ -145,15 +172,22 @@
     return nullptr;
 }
 
+bool can_become_voter(const instance& i, consensus::node_id learner, time_point now) {
+    return consensus::heard_within(*i.raft->node(), learner, learner_max_silence, now) &&
+           !is_departing(i.site->leaving, learner, now);
+}
+
 // The voter that `replacement` should replace: one with an earlier identity at the same address, or
-// a silent one; 0 if there is none.
+// a silent or departing one; 0 if there is none.
 consensus::node_id voter_to_replace(const instance& i, const schema::control_member& replacement) {
     const consensus::node& n = *i.raft->node();
     if (const auto* old =
             member_at(consensus::members_of(n), replacement.address(), replacement.id())) {
         return old->id();
     }
-    return consensus::silent_voter(n, i.settings.site->lost_after, runtime::boot_now());
+    const time_point now = runtime::boot_now();
+    const consensus::node_id silent = consensus::silent_voter(n, i.settings.site->lost_after, now);
+    return silent != 0 ? silent : departing_voter(i.site->leaving, consensus::members_of(n), now);
 }
 
 // Makes `learner` a voter: in place of a lost one, or if there are fewer voters
@@ -200,7 +234,7 @@
     const schema::configuration members = consensus::members_of(n);
     const time_point now = runtime::boot_now();
     for (const schema::control_member& m : members.learners()) {
-        if (consensus::heard_within(n, m.id(), learner_max_silence, now) && make_voter(i, m)) {
+        if (can_become_voter(i, m.id(), now) && make_voter(i, m)) {
             return;
         }
         if (!consensus::heard_within(n, m.id(), learner_timeout, now) &&
@@ -210,4 +244,43 @@
     }
 }
 
+bool answer_leave(instance& i, consensus::node_id id) {
+    if (!i.raft->is_leader()) {
+        return false;
+    }
+    const time_point now = runtime::boot_now();
+    record_departure(i.site->leaving, id, now);
+    repair_members(i);
+    const consensus::node& n = *i.raft->node();
+    if (consensus::change_under_way(n)) {
+        return false;
+    }
+    const auto& learners = consensus::members_of(n).learners();
+    return !consensus::is_voter(n, id) ||
+           std::none_of(learners.begin(), learners.end(),
+                        [&](const auto& m) { return can_become_voter(i, m.id(), now); });
+}
+
+boost::asio::awaitable<void> hand_over_vote(instance& i) {
+    const time_point began = runtime::boot_now();
+    bool may_stop = i.raft->node() == nullptr;
+    while (!may_stop && runtime::boot_now() - began < i.settings.site->handover_timeout) {
+        const std::string leader = i.raft->leader_address();
+        if (i.raft->is_leader()) {
+            may_stop = answer_leave(i, i.raft->identity().node_id());
+        } else if (!leader.empty()) {
+            may_stop = co_await ask_to_leave(i, leader);
+        }
+        if (!may_stop) {
+            may_stop = !may_pass_vote(i);
+        }
+        if (!may_stop) {
+            co_await runtime::sleep_for(leave_interval);
+        }
+    }
+    log_event(severity::info, event::vote_handed_over,
+              {{"may_stop", may_stop ? "yes" : "no"},
+               {"took_ms", to_milliseconds(runtime::boot_now() - began)}});
+}
+
 }  // namespace burdockdeck::control
--- a/libs/control/src/peer_service.cpp
+++ b/libs/control/src/peer_service.cpp
@@ -68,6 +68,17 @@
         });
     }
 
+    grpc::ServerUnaryReactor* leave(grpc::CallbackServerContext* context,
+                                    const rpc::leave_request* request,
+                                    rpc::leave_reply* reply) override {
+        return on_loop(instance_, context, [this, request, reply](auto* reactor) {
+            if (instance_.site) {
+                reply->set_may_stop(answer_leave(instance_, request->node_id()));
+            }
+            reactor->Finish(grpc::Status::OK);
+        });
+    }
+
     grpc::ServerUnaryReactor* relay(grpc::CallbackServerContext* context,
                                     const rpc::announcement_relay* request,
                                     rpc::acknowledgement*) override {
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -192,7 +192,7 @@
 
 void control_server::stop(std::function<void()> finished) {
     instance& i = state_->shared;
-    i.loop.post([&i, this, finished = std::move(finished)] {
+    const auto end = [&i, this, finished = std::move(finished)] {
         i.stopping = true;
         end_watches(i, "this instance is stopping");
         if (i.raft) {
@@ -208,6 +208,12 @@
             end_site_watches(i);
         }
         finished();
+    };
+    runtime::spawn(i.loop, [&i, end]() -> boost::asio::awaitable<void> {
+        if (i.site) {
+            co_await hand_over_vote(i);
+        }
+        end();
     });
 }
 
--- a/libs/control/src/settings.cpp
+++ b/libs/control/src/settings.cpp
@@ -17,6 +17,8 @@
     s.founding = site.get_flag("founding", false);
     s.voters = 2 * static_cast<std::uint32_t>(site.get_integer("losses_to_bear", 0, 4, 1)) + 1;
     s.lost_after = site.get_milliseconds("lost_after_ms", 500, 600'000, 1500);
+    // Half of the time to a forced end, so that the rest of the stop has as long.
+    s.handover_timeout = site.get_milliseconds("grace_ms", 0, 3'600'000, 8000) / 2;
     s.announce_interval = site.get_milliseconds("announce_interval_ms", 50, 600'000, 1200);
     s.store_window = std::chrono::seconds(site.get_integer("store_window_s", 1, 3600, 5));
     (void)site.finish();
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "control/site_protocol.h"
+#include "departures.h"
 #include "deployment_history.h"
 #include "instance.h"
 #include "placement/moves.h"
@@ -82,6 +83,9 @@
     // The deployment in force, decoded.
     deployment::site current;
 
+    // Members that are about to stop, as they told this instance while it led.
+    departures leaving;
+
     // --- State of the planner
     // Number of engines that each model needs, smoothed over time.
     std::map<demand_key, double> smoothed_demand;
@@ -145,8 +149,15 @@
 // Adds the requesting instance as a learner if this instance is the leader. Always returns the
 // members' addresses.
 [[nodiscard]] rpc::join_reply answer_join(instance& i, const rpc::join_request& request);
-// Replaces lost voters by learners that have caught up, and removes silent learners. Leader only.
+// Replaces lost and departing voters by learners that have caught up, and removes silent learners.
+// Leader only.
 void repair_members(instance& i);
+// The leader's part of a planned stop of the member `id`; true if that may stop now. False if this
+// instance does not lead.
+[[nodiscard]] bool answer_leave(instance& i, consensus::node_id id);
+// Waits until this instance has passed its vote on to a learner, if one can take it, for as long as
+// the settings allow.
+boost::asio::awaitable<void> hand_over_vote(instance& i);
 // The address at which `seed` accepts calls from other instances.
 [[nodiscard]] std::string rpc_address(const instance& i, const settings::endpoint& seed);
 // Returns the connection to another instance's peer service; opens it if there is none.
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -88,9 +88,10 @@
     answer_header_invalid,
     upstream_notice,
     members_learnt,
+    vote_handed_over,
 };
 
-inline constexpr name_table<event, 75> event_names{{
+inline constexpr name_table<event, 76> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -166,6 +167,7 @@
     {event::answer_header_invalid, "answer_header_invalid"},
     {event::upstream_notice, "upstream_notice"},
     {event::members_learnt, "members_learnt"},
+    {event::vote_handed_over, "vote_handed_over"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
