Gateways: the sum of the answers in memory is bounded; streams without data end

Reported by other operators: a faulty upstream sent bytes without end, its caller ran out of memory, and other callers' requests ended with it. Here each request was bounded (1 MiB), not their sum. More than 64 KiB without data break a stream. The splitter looks at each byte once, idle connections keep no buffer.

--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -31,6 +31,8 @@
     settings::log_settings log;
     // Time from the stop signal to the latest end of the process.
     duration grace = std::chrono::seconds(8);
+    // Most bytes of answers that are held in memory at once.
+    std::size_t max_answer_bytes = 64 * 1024 * 1024;
     dispatch::budget_settings budget;
     dispatch::choice_settings choice;
     dispatch::admission_settings admission;
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <cstdio>
 
+#include "answer_memory.h"
+#include "attempt_headers.h"
 #include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
@@ -29,6 +31,9 @@
 // A stream with a longer event is treated as broken, so that an event that never ends takes bounded
 // memory.
 constexpr std::size_t max_event_bytes = 1024 * 1024;
+// A stream that sends more than this between two events with data, such as comments or empty lines,
+// is treated as broken.
+constexpr std::size_t max_bytes_without_data = 64 * 1024;
 constexpr unsigned first_server_error = 500;
 // An engine's prompt speed cannot be measured precisely enough with shorter prompts.
 constexpr std::uint32_t min_sample_tokens = 1000;
@@ -76,48 +81,6 @@
     }
 };
 
-// Urgency at an engine; the lowest number is served first. Requests are ordered by the route's
-// priority and, within one priority, those with a latency objective of 2 s or more come last.
-std::uint32_t urgency_of(const deployment::route& r) {
-    constexpr duration long_objective = std::chrono::seconds(2);
-    const std::uint32_t rank = std::min(r.priority, 3U);
-    return 2 + 2 * rank + (r.latency_objective >= long_objective ? 1 : 0);
-}
-
-header_list headers_to_send(const core& c, const request_state& r, const std::string& target,
-                            std::optional<std::uint64_t> last_event_id) {
-    header_list out;
-    const std::string_view connection = find_header(r.request.headers, "Connection");
-    for (const auto& [name, value] : r.request.headers) {
-        const bool dropped = equals_ignore_case(name, "Content-Length") ||
-                             equals_ignore_case(name, "Expect") ||
-                             is_hop_header(name, connection) || c.protocol.is_reserved(name);
-        if (!dropped) {
-            out.emplace_back(name, value);
-        }
-    }
-    attempt_header_values facts;
-    facts.time_left = time_left(r, runtime::boot_now());
-    facts.target_id = target;
-    if (!r.facts.needs.model.empty()) {
-        facts.urgency = urgency_of(r.route);
-    }
-    facts.last_event_id = last_event_id;
-    c.protocol.write_attempt_headers(out, facts);
-    return out;
-}
-
-header_list headers_to_return(const header_list& from) {
-    header_list out;
-    const std::string_view connection = find_header(from, "Connection");
-    for (const auto& [name, value] : from) {
-        if (!equals_ignore_case(name, "Content-Length") && !is_hop_header(name, connection)) {
-            out.emplace_back(name, value);
-        }
-    }
-    return out;
-}
-
 std::string encode_chunk(std::string_view bytes) {
     std::array<char, 24> size{};
     std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -185,6 +148,19 @@
     }
 }
 
+constexpr std::string_view dropped_reason = "dropped: the gateway holds too many bytes of answers";
+
+// Closes the connections of an answer that is dropped.
+std::function<void()> drop_action(session& caller, const request_state& r,
+                                  const std::shared_ptr<exchange>& e) {
+    return [&caller, &r, e] {
+        e->abort();
+        if (!r.awaits_upstream) {
+            caller.close_now();
+        }
+    };
+}
+
 // True if a stream whose body has ended may be complete: it does not end inside an event, and one
 // that ends with its connection has at least one event.
 bool may_be_complete(const exchange& e, const event_splitter& s) {
@@ -203,6 +179,7 @@
     if (resumed) {
         splitter.last_id = r.events.last_id;
     }
+    answer_hold hold(c.answers_held, drop_action(caller, r, e));
     bool first = true;
     body_status status = body_status::more;
     while (status == body_status::more) {
@@ -215,6 +192,13 @@
         std::string bytes;
         status = co_await e->read(bytes, left);
         std::string events = extract_events(splitter, bytes);
+        hold.resize(splitter.pending.size() + events.size());
+        if (hold.dropped()) {
+            r.last_failure = dropped_reason;
+            record_ending(r, cut_cause::answer_invalid, r.last_failure, runtime::boot_now());
+            status = body_status::broken;
+            break;
+        }
         if (resumed && !splitter.ids_increase) {
             r.last_failure = "resumed stream repeats events that were forwarded";
             record_ending(r, cut_cause::answer_invalid, r.last_failure, runtime::boot_now());
@@ -233,6 +217,11 @@
             record_ending(r, cut_cause::answer_invalid, r.last_failure, runtime::boot_now());
             status = body_status::broken;
         }
+        if (splitter.bytes_without_data > max_bytes_without_data) {
+            r.last_failure = "more bytes without data than the limit";
+            record_ending(r, cut_cause::answer_invalid, r.last_failure, runtime::boot_now());
+            status = body_status::broken;
+        }
         if (status == body_status::broken) {
             record_ending(r,
                           e->ended_by() == end_cause::timeout ? cut_cause::deadline
@@ -277,6 +266,7 @@
             e->abort();
             co_return attempt_end::finished;
         }
+        hold.resize(splitter.pending.size());
         ++r.events_forwarded;
         r.last_progress_at = runtime::boot_now();
         r.awaits_upstream = true;
@@ -304,9 +294,10 @@
 }
 
 // Reads the complete answer, then forwards it.
-asio::awaitable<attempt_end> forward_buffered(session& caller, request_state& r,
+asio::awaitable<attempt_end> forward_buffered(core& c, session& caller, request_state& r,
                                               std::shared_ptr<exchange> e, in_flight_guard& guard) {
     caller_answer answer;
+    answer_hold hold(c.answers_held, drop_action(caller, r, e));
     body_status status = body_status::more;
     while (status == body_status::more && answer.body.size() < max_buffered_answer_bytes) {
         const duration left = time_left(r, runtime::boot_now());
@@ -315,14 +306,19 @@
         }
         status = co_await e->read(answer.body, left);
         r.last_progress_at = runtime::boot_now();
+        hold.resize(answer.body.size());
+        if (hold.dropped()) {
+            status = body_status::broken;
+        }
     }
     if (status != body_status::complete) {
-        r.last_failure = e->failure().empty()
+        r.last_failure = hold.dropped() ? std::string(dropped_reason)
+                         : e->failure().empty()
                              ? "answer longer than the limit or not complete before the deadline"
                              : e->failure();
         const bool late = e->ended_by() == end_cause::timeout ||
                           time_left(r, runtime::boot_now()) <= duration::zero();
-        const bool too_long = status == body_status::more && !late;
+        const bool too_long = hold.dropped() || (status == body_status::more && !late);
         record_ending(r,
                       late       ? cut_cause::deadline
                       : too_long ? cut_cause::answer_invalid
@@ -569,7 +565,7 @@
             count_outcome(guard, attempt_outcome::served,
                           to.expected_ms > 0 ? took_ms / (to.expected_ms + 50) : 0);
         }
-        end = co_await forward_buffered(caller, r, e, guard);
+        end = co_await forward_buffered(c, caller, r, e, guard);
         if (end == attempt_end::finished && e->status() / 100 == 2) {
             record_first_event(c, r, id, runtime::boot_now());
         }
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -74,6 +74,8 @@
 void keep(connection_pool& pool, connection_ptr c, time_point now) {
     c->idle_since = now;
     c->stream.expires_never();
+    // A long answer leaves a large buffer.
+    c->buffer.shrink_to_fit();
     set_user_timeout(*c, upstream_user_timeout);
     pool.idle.push_back(std::move(c));
     if (pool.idle.size() > max_idle) {
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -12,6 +12,7 @@
 #include <tuple>
 #include <unordered_map>
 
+#include "answer_memory.h"
 #include "connection_pool.h"
 #include "dispatch/budget.h"
 #include "dispatch/speed.h"
@@ -70,7 +71,9 @@
 
 struct core {
     core(const gateway_settings& s, caller_protocol p, runtime::rpc_access a)
-        : settings(s), protocol(std::move(p)), access(std::move(a)) {}
+        : settings(s), protocol(std::move(p)), access(std::move(a)) {
+        answers_held.limit = settings.max_answer_bytes;
+    }
 
     gateway_settings settings;
     caller_protocol protocol;
@@ -87,6 +90,7 @@
     // report.
     bool demand_report_due = false;
     dispatch::model_speeds speeds;
+    answer_memory answers_held;
     // The control instance that leads, and grants permits; null if none is known.
     std::shared_ptr<rpc::control::Stub> leader;
     // When it was last heard, and when it is to be asked again after it did not answer.
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::string_view id_field = "id:";
+// Length of the longest end of an event, "\\r\\n\\r\\n".
+constexpr std::size_t max_event_end = 4;
 
 std::optional<std::uint64_t> id_of(std::string_view event) {
     while (!event.empty()) {
@@ -34,14 +36,23 @@
     return event.starts_with(data_field) || event.find("\ndata") != std::string_view::npos;
 }
 
-// Length of the first complete event including its empty line; 0 if none is complete.
-std::size_t first_event_length(std::string_view text) {
-    const std::size_t lf_end = text.find("\n\n");
-    const std::size_t crlf_end = text.find("\r\n\r\n");
-    if (lf_end == std::string_view::npos && crlf_end == std::string_view::npos) {
-        return 0;
+// Length of the first complete event including its empty line; 0 if none is complete. No event ends
+// in the first `scanned` bytes.
+std::size_t first_event_length(std::string_view text, std::size_t scanned) {
+    // The end may have begun in the bytes scanned before.
+    std::size_t at = scanned < max_event_end ? 0 : scanned - max_event_end;
+    while ((at = text.find('\n', at)) != std::string_view::npos) {
+        ++at;
+        const std::string_view rest = text.substr(at);
+        if (rest.starts_with('\n')) {
+            return at + 1;
+        }
+        const bool after_crlf = at >= 2 && text[at - 2] == '\r';
+        if (after_crlf && rest.starts_with("\r\n")) {
+            return at + 2;
+        }
     }
-    return crlf_end < lf_end ? crlf_end + 4 : lf_end + 2;
+    return 0;
 }
 
 }  // namespace
@@ -51,16 +62,22 @@
     std::size_t complete_bytes = 0;
     while (true) {
         const std::string_view rest = std::string_view(s.pending).substr(complete_bytes);
-        const std::size_t length = first_event_length(rest);
+        const std::size_t length = first_event_length(rest, s.scanned);
+        s.scanned = 0;
         if (length == 0) {
+            s.scanned = rest.size();
             break;
         }
         if (const auto id = id_of(rest.substr(0, length))) {
             s.ids_increase = s.ids_increase && (!s.last_id || *id > *s.last_id);
             s.last_id = id;
             s.events_without_id = 0;
+            s.bytes_without_data = 0;
         } else if (has_data(rest.substr(0, length))) {
             ++s.events_without_id;
+            s.bytes_without_data = 0;
+        } else {
+            s.bytes_without_data += length;
         }
         ++s.events;
         complete_bytes += length;
--- a/libs/gateway/src/event_splitter.h
+++ b/libs/gateway/src/event_splitter.h
@@ -19,6 +19,10 @@
     // Number of events with data since the last one that had an id: a stream cannot be resumed
     // after them.
     std::uint64_t events_without_id = 0;
+    // Bytes of complete events since the last one with data or an id.
+    std::size_t bytes_without_data = 0;
+    // Bytes at the start of `pending` in which no event ends.
+    std::size_t scanned = 0;
 };
 
 // Adds `bytes` and returns the events that are now complete, byte for byte as received.
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -143,10 +143,13 @@
 }
 
 asio::awaitable<bool> exchange::skip_body(deadline until) {
-    std::string skipped;
+    std::string bytes;
+    std::size_t skipped = 0;
     body_status s = body_status::more;
-    while (s == body_status::more && skipped.size() < max_skipped_bytes) {
-        s = co_await read_until(skipped, until);
+    while (s == body_status::more && skipped < max_skipped_bytes) {
+        s = co_await read_until(bytes, until);
+        skipped += bytes.size();
+        bytes.clear();
     }
     co_return s == body_status::complete;
 }
--- a/libs/gateway/src/settings.cpp
+++ b/libs/gateway/src/settings.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::int64_t max_port = 65535;
+// Answers held may take this part of the memory; buffers may be twice as large as their content.
+constexpr std::size_t answer_memory_divisor = 5;
 
 dispatch::choice_settings get_choice(settings::map_reader& reader) {
     settings::map_reader choice = reader.get_map("choice");
@@ -62,6 +64,9 @@
     s.access = get_access_settings(reader);
     s.log = get_log_settings(reader);
     s.grace = reader.get_milliseconds("grace_ms", 100, 3'600'000, 8000);
+    const auto memory_mb =
+        static_cast<std::size_t>(reader.get_integer("memory_mb", 16, 1'000'000, 256));
+    s.max_answer_bytes = memory_mb * 1024 * 1024 / answer_memory_divisor;
     s.budget = get_budget(reader);
     s.choice = get_choice(reader);
     s.admission = get_admission(reader);
