Planner: a very high rate of the weight store costs no memory

A new planner filled a record for each load that the declared rate allows within a window, up to 4 billion for a valid deployment, and the conversion of larger rates was undefined. Change: the counts are clamped to 10,000, more than are ordered in any window. Test: placement.moves, new case; set_store_rate is new, so that it has no run before.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -266,12 +266,7 @@
 
 placement::move_settings settings_for(const instance& i, const deployment::engine_spec& spec) {
     placement::move_settings s;
-    const double window_s = to_seconds(i.settings.site->store_window);
-    s.store_window = i.settings.site->store_window;
-    s.max_store_loads_per_window =
-        static_cast<std::uint32_t>(std::max(1.0, std::floor(spec.store_loads_per_s * window_s)));
-    s.max_concurrent_store_loads =
-        static_cast<std::uint32_t>(std::max(1.0, std::ceil(spec.store_loads_per_s * 3)));
+    set_store_rate(s, spec.store_loads_per_s, i.settings.site->store_window);
     return s;
 }
 
--- a/libs/placement/include/placement/moves.h
+++ b/libs/placement/include/placement/moves.h
@@ -143,6 +143,8 @@
 // unknown to this planner and gets no further one for a while, so that other engines are
 // considered.
 void record_refused_order(move_planner_state& m, const std::string& engine, time_point now);
+// Sets the limits on loads from the weight store by its rate; very high rates are clamped.
+void set_store_rate(move_settings& s, double loads_per_s, duration window);
 // Resets the state for a new planner. It has no record of the previous planner's loads, so it
 // counts part of the store's window as used.
 void begin_planning(move_planner_state& m, const move_settings& s, time_point now);
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -391,6 +391,19 @@
     m.refused_until[engine] = now + refusal_backoff;
 }
 
+void set_store_rate(move_settings& s, double loads_per_s, duration window) {
+    // The planner keeps a record of each load in the window.
+    constexpr double max_loads = 10'000;
+    // Loads that run at the same time take as long as those that begin in this time.
+    constexpr double concurrency_s = 3;
+    const auto to_count = [](double loads) {
+        return static_cast<std::uint32_t>(std::clamp(loads, 1.0, max_loads));
+    };
+    s.store_window = window;
+    s.max_store_loads_per_window = to_count(std::floor(loads_per_s * to_seconds(window)));
+    s.max_concurrent_store_loads = to_count(std::ceil(loads_per_s * concurrency_s));
+}
+
 void begin_planning(move_planner_state& m, const move_settings& s, time_point now) {
     m = {};
     while (m.store_loads.size() + initial_store_loads < s.max_store_loads_per_window) {
--- a/libs/placement/tests/test_moves.cpp
+++ b/libs/placement/tests/test_moves.cpp
@@ -208,6 +208,22 @@
     CHECK(sim.f.engines[1].models.size() == 2);
 }
 
+// Guards against a planner that keeps a record for each load that an absurd rate would allow.
+TEST_CASE("a very high rate of the weight store costs no memory") {
+    move_settings s;
+    set_store_rate(s, 1.1, std::chrono::seconds(5));
+    CHECK(s.max_store_loads_per_window == 5);
+    CHECK(s.max_concurrent_store_loads == 4);
+    set_store_rate(s, 0, std::chrono::seconds(5));
+    CHECK(s.max_store_loads_per_window == 1);
+    for (const double rate : {1e9, 1e15, 9007199254740992.0}) {
+        set_store_rate(s, rate, std::chrono::seconds(5));
+        move_planner_state m;
+        begin_planning(m, s, start);
+        CHECK(m.store_loads.size() <= 10'000);
+    }
+}
+
 TEST_CASE("a new planner leaves part of the store's rate for loads of the previous one") {
     const move_settings s;
     move_planner_state m;
