Control: changes of the models held are collected before gateways are told

Cause: leaders lost contact again and again. Adapters come and go with each request, and each changed announcement was sent to all gateways at once by every member: up to 5,800 messages a second and member at 105 gateways, on the loop that keeps the leader. Ruled out as the only cause: instances that serve nobody, faults. Change: the registry tells a change of the models held from others; the leader collects them for 100 ms, the other members send them with the next heartbeat. What decides whether an upstream may be used is sent at once, as before. A finished write looks at its own watch only. loop_lagged and two metrics are new.

--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -150,7 +150,14 @@
                 });
             }
         };
-        w->on_idle = [this] { instance_.loop.post([this] { update_site_watchers(instance_); }); };
+        w->on_idle = [this, weak] {
+            instance_.loop.post([this, weak] {
+                const auto idle = weak.lock();
+                if (idle != nullptr && instance_.site) {
+                    update_site_watcher(instance_, idle);
+                }
+            });
+        };
         instance_.loop.post([this, w, request = *request] {
             if (instance_.stopping || !instance_.site) {
                 w->end(grpc::Status(grpc::StatusCode::UNAVAILABLE, "no site is served here"));
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -22,8 +22,12 @@
 // Time before the next relay to a peer after a failed one.
 constexpr duration relay_backoff = std::chrono::milliseconds(500);
 constexpr duration maintenance_interval = std::chrono::milliseconds(200);
+constexpr duration min_logged_lag = std::chrono::milliseconds(300);
 // Interval of heartbeat updates to watchers.
 constexpr duration watch_heartbeat = std::chrono::milliseconds(400);
+// Upstreams load and unload all the time. The leader collects changes of their models for this
+// long; the other instances send them with the next heartbeat.
+constexpr duration model_batch_delay = std::chrono::milliseconds(100);
 // Several gateways report one crash at about the same time; their news goes on in one update.
 constexpr duration crash_batch_delay = std::chrono::milliseconds(15);
 // Upstreams that have left stay in the registry for this long, so that their late announcements are
@@ -69,6 +73,7 @@
 
 void send_update(instance& i, const std::shared_ptr<site_watcher>& w, gateway_watch& watch) {
     rpc::site_update update = update_for(i, *w, watch);
+    i.metrics.count("burdockdeck_site_updates_total");
     i.metrics.count("burdockdeck_site_update_bytes_total", "", update.ByteSizeLong());
     w->send(std::move(update), i.site->upstreams.changes);
 }
@@ -180,6 +185,17 @@
     }
 }
 
+// Elections and heartbeats run on this loop: a leader whose loop lags for too long is replaced.
+void record_loop_lag(instance& i, duration lag) {
+    i.metrics.observe("burdockdeck_loop_lag_seconds", lag);
+    if (lag > min_logged_lag) {
+        log_event(severity::warning, event::loop_lagged,
+                  {{"lag_ms", to_milliseconds(lag)},
+                   {"leading", i.raft->is_leader() ? "yes" : "no"},
+                   {"watchers", static_cast<std::uint64_t>(i.site->watchers.size())}});
+    }
+}
+
 boost::asio::awaitable<void> run_maintenance(instance& i) {
     time_point heartbeat_at{};
     while (!i.stopping) {
@@ -200,16 +216,44 @@
                 }
             }
         }
+        const time_point due = runtime::boot_now() + maintenance_interval;
         co_await runtime::sleep_for(maintenance_interval);
+        record_loop_lag(i, runtime::boot_now() - due);
     }
 }
 
 boost::asio::awaitable<void> send_crashes_later(instance& i) {
     co_await runtime::sleep_for(crash_batch_delay);
     i.site->crash_update_scheduled = false;
+    i.site->urgent_crashes = i.site->crashes.revision;
     update_site_watchers(i);
 }
 
+boost::asio::awaitable<void> send_models_later(instance& i) {
+    co_await runtime::sleep_for(model_batch_delay);
+    i.site->model_update_scheduled = false;
+    if (i.raft->is_leader()) {
+        i.site->urgent_changes = i.site->upstreams.changes;
+        update_site_watchers(i);
+    }
+}
+
+void send_changes(instance& i, registry::merge_result merged) {
+    if (merged == registry::merge_result::changed) {
+        i.site->urgent_changes = i.site->upstreams.changes;
+        update_site_watchers(i);
+    } else if (merged == registry::merge_result::updated && !i.site->model_update_scheduled) {
+        i.site->model_update_scheduled = true;
+        runtime::spawn(i.loop, [&i] { return send_models_later(i); });
+    }
+}
+
+bool lacks_urgent_news(const instance& i, const site_watcher& w, const gateway_watch& watch) {
+    return watch.sent_version < i.raft->state().deployment().version() ||
+           w.known() < i.site->urgent_changes || !watch.placement_sent ||
+           watch.sent_crashes < i.site->urgent_crashes;
+}
+
 }  // namespace
 
 void start_site(instance& i) {
@@ -235,7 +279,7 @@
                   {{"upstream", a.id()}, {"sequence", a.sequence()}, {"reason", "outdated"}});
         return;
     }
-    if (merged == registry::merge_result::changed) {
+    if (merged == registry::merge_result::changed || merged == registry::merge_result::updated) {
         log_event(severity::info, event::upstream_changed,
                   {{"upstream", a.id()},
                    {"address", a.address()},
@@ -243,7 +287,7 @@
                    {"sequence", a.sequence()},
                    {"state", a.state()},
                    {"models", a.models_size()}});
-        update_site_watchers(i);
+        send_changes(i, merged);
     }
     if (relayed) {
         return;
@@ -290,15 +334,19 @@
 void update_site_watchers(instance& i) {
     record_deployment(i.site->history, i.raft->state().deployment());
     for (auto& [w, watch] : i.site->watchers) {
-        const bool behind = watch.sent_version < i.raft->state().deployment().version() ||
-                            w->known() < i.site->upstreams.changes || !watch.placement_sent ||
-                            watch.sent_crashes < i.site->crashes.revision;
-        if (behind && w->ready()) {
+        if (lacks_urgent_news(i, *w, watch) && w->ready()) {
             send_update(i, w, watch);
         }
     }
 }
 
+void update_site_watcher(instance& i, const std::shared_ptr<site_watcher>& w) {
+    const auto found = i.site->watchers.find(w);
+    if (found != i.site->watchers.end() && lacks_urgent_news(i, *w, found->second) && w->ready()) {
+        send_update(i, w, found->second);
+    }
+}
+
 void merge_crash_report(instance& i, const rpc::crash_report& report) {
     for (const schema::engine_crash& c : report.news().crashes()) {
         if (!i.site->crashes.crashes.contains({c.upstream(), c.born_ms()})) {
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -68,6 +68,11 @@
     std::vector<settings::endpoint> seeds;
     registry::registry upstreams;
     std::map<std::shared_ptr<site_watcher>, gateway_watch> watchers;
+    // Watchers get registry changes up to `urgent_changes` and crash news up to `urgent_crashes` at
+    // once, later ones with the next update.
+    std::uint64_t urgent_changes = 0;
+    std::uint64_t urgent_crashes = 0;
+    bool model_update_scheduled = false;
     // Other control instances, by address.
     std::map<std::string, peer_link> peers;
     std::vector<schema::upstream_announcement> to_relay;
@@ -126,8 +131,9 @@
 
 void open_site_watch(instance& i, std::shared_ptr<site_watcher> w,
                      const rpc::watch_site_request& request);
-// Sends an update to each watcher that is out of date.
+// Sends an update to each watcher that lacks something urgent.
 void update_site_watchers(instance& i);
+void update_site_watcher(instance& i, const std::shared_ptr<site_watcher>& w);
 // Returns a patch to the deployment in force, from the text of `known_version` if it is kept here,
 // otherwise from the empty text.
 [[nodiscard]] rpc::fetch_deployment_reply answer_fetch(instance& i, std::uint64_t known_version);
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -393,7 +393,7 @@
 
 void set_store_rate(move_settings& s, double loads_per_s, duration window) {
     // The planner keeps a record of each load in the window.
-    constexpr double max_loads = 10'000;
+    static constexpr double max_loads = 10'000;
     // Loads that run at the same time take as long as those that begin in this time.
     constexpr double concurrency_s = 3;
     const auto to_count = [](double loads) {
--- a/libs/registry/include/registry/registry.h
+++ b/libs/registry/include/registry/registry.h
@@ -29,8 +29,10 @@
     std::uint64_t changes = 0;
 };
 
-// Effect of one announcement.
-enum class merge_result { changed, refreshed, outdated };
+// Effect of one announcement. `updated`: only the models that the upstream holds changed;
+// `changed`: the upstream is new, or another field changed that does not change with every
+// announcement.
+enum class merge_result { changed, updated, refreshed, outdated };
 
 // --- Queries
 
--- a/libs/registry/src/registry.cpp
+++ b/libs/registry/src/registry.cpp
@@ -21,6 +21,14 @@
     return a.SerializeAsString() == b.SerializeAsString();
 }
 
+// The same, except for the models that the upstream holds.
+bool same_but_for_models(upstream_announcement a, const upstream_announcement& b) {
+    *a.mutable_models() = b.models();
+    *a.mutable_in_memory() = b.in_memory();
+    *a.mutable_on_disk() = b.on_disk();
+    return same_content(std::move(a), b);
+}
+
 void mark_changed(registry& r, upstream_entry& e) {
     e.last_change = ++r.changes;
 }
@@ -38,8 +46,8 @@
     }
 }
 
-// True if the address of `a` belongs to another incarnation: a newer one, or one that started at the
-// same time, was known first and has not left.
+// True if the address of `a` belongs to another incarnation: a newer one, or one that started at
+// the same time, was known first and has not left.
 bool address_is_taken(const registry& r, const upstream_announcement& a) {
     for (const auto& [id, e] : r.upstreams) {
         const upstream_announcement& other = e.latest;
@@ -94,13 +102,17 @@
         return merge_result::outdated;
     }
     upstream_entry& e = r.upstreams[a.id()];
-    const bool changed = e.last_change == 0 || !same_content(a, e.latest);
+    const bool changed = e.last_change == 0 || !same_but_for_models(a, e.latest);
+    const bool updated = !changed && !same_content(a, e.latest);
     e.latest = a;
     e.last_seen = now;
-    if (!changed) {
+    if (!changed && !updated) {
         return merge_result::refreshed;
     }
     mark_changed(r, e);
+    if (updated) {
+        return merge_result::updated;
+    }
     mark_older_gone(r, a);
     return merge_result::changed;
 }
--- a/libs/registry/tests/test_registry.cpp
+++ b/libs/registry/tests/test_registry.cpp
@@ -53,6 +53,29 @@
     CHECK(merge(r, announce("b", 5, 2), start) == merge_result::changed);
 }
 
+// Guards against an update of all gateways for each model that an engine loads or unloads.
+TEST_CASE("a change of the models held is told from other changes") {
+    registry::registry r;
+    upstream_announcement a = announce("a", 5, 1);
+    a.add_models()->set_name("m1");
+    CHECK(merge(r, a, start) == merge_result::changed);
+    a.set_sequence(2);
+    a.mutable_models(0)->add_adapters("a1");
+    a.add_on_disk("m2");
+    CHECK(merge(r, a, start) == merge_result::updated);
+    CHECK(changed_since(r, 1).size() == 1);
+    a.set_sequence(3);
+    CHECK(merge(r, a, start) == merge_result::refreshed);
+    a.set_sequence(4);
+    a.add_models()->set_name("m3");
+    a.set_state(schema::announced_draining);
+    CHECK(merge(r, a, start) == merge_result::changed);
+    a.set_sequence(1);
+    a.set_born_ms(6);
+    a.set_state(schema::announced_ready);
+    CHECK(merge(r, a, start) == merge_result::changed);
+}
+
 TEST_CASE("a draining upstream does not become ready again within the same incarnation") {
     registry::registry r;
     merge(r, announce("a", 5, 1), start);
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -89,9 +89,10 @@
     upstream_notice,
     members_learnt,
     vote_handed_over,
+    loop_lagged,
 };
 
-inline constexpr name_table<event, 76> event_names{{
+inline constexpr name_table<event, 77> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -168,6 +169,7 @@
     {event::upstream_notice, "upstream_notice"},
     {event::members_learnt, "members_learnt"},
     {event::vote_handed_over, "vote_handed_over"},
+    {event::loop_lagged, "loop_lagged"},
 }};
 
 // One key=value pair. Empty values and values with white space, quotes or equals signs are quoted.
