Directories: without a leader, reports of members add up

Read, not seen by callers. A member that was removed long ago and still runs reports the members of its time; at an instance without a data folder its report replaced those of others, so that gateways and joining instances were sent to it alone until the leader reported. Change: only the leader's report replaces what is known. Before: control.directory, new case: 1 of 18 assertions failed. After: all pass.

--- a/libs/control/src/directory.cpp
+++ b/libs/control/src/directory.cpp
@@ -154,7 +154,10 @@
     if (!from_leader && hears_leader(d, now) && names_no_other) {
         return false;
     }
-    d.members = {report.addresses().begin(), report.addresses().end()};
+    if (from_leader) {
+        d.members.clear();
+    }
+    d.members.insert(report.addresses().begin(), report.addresses().end());
     const auto& running = from_leader ? report.responsive() : report.addresses();
     d.responsive = {running.begin(), running.end()};
     d.leader = report.leader();
--- a/libs/control/src/directory.h
+++ b/libs/control/src/directory.h
@@ -44,8 +44,8 @@
 [[nodiscard]] std::set<std::string> instances_to_ask(const directory& d,
                                                      const std::set<std::string>& seeds,
                                                      time_point now);
-// Applies a report. One of another instance without a data folder only adds addresses. True if the
-// members or the leader changed.
+// Applies a report. Only the leader's replaces the members; one of another member may come from an
+// instance that was removed long ago. True if the members or the leader changed.
 bool record_report(directory& d, const rpc::member_list& report, time_point now);
 
 // --- At a member
--- a/libs/control/tests/test_directory.cpp
+++ b/libs/control/tests/test_directory.cpp
@@ -56,6 +56,16 @@
     CHECK(redirect_target(d, redirect_kind::to_leader, late));
 }
 
+// Guards against a member that was removed and reports those of its time.
+TEST_CASE("without a leader, reports of members add up") {
+    directory d;
+    record_report(d, report({"a", "b", "c"}, ""), start);
+    record_report(d, report({"x", "y"}, ""), start + milliseconds(10));
+    CHECK(instances_to_ask(d, {}, start) == addresses{"a", "b", "c", "x", "y"});
+    record_report(d, report({"a", "b", "c"}, "a", {"a", "b", "c"}), start + milliseconds(20));
+    CHECK(d.members == addresses{"a", "b", "c"});
+}
+
 TEST_CASE("another instance without a data folder only adds addresses") {
     directory d;
     rpc::member_list hearsay = report({"x"}, "x", {"x"});
