Quarantine: crashes after the first events are charged to prompts, and only answers prove them

Cause: an attempt that had received an event was never recorded at a crash, and the event cleared all parts of its prompt for five minutes. The border between cause and soundness was the first event on both sides.

Ruled out: delays of crash news, since one gateway alone fails; limits on lists and proofs.

Change: a crash charges all requests that were not answered completely. A complete answer proves its parts; one that has gone on for 1 s does so less strongly, and outweighs crashes no longer once a part has been at four of them without a complete answer. Begun answers are ended, and not resumed, when a part of their prompt is refused. A stream of 1 s may be resumed after a first crash. Answers that a gateway ends for that reason do not count against the engine.

Why it works: a deadly prompt never gets a complete answer, whenever in the answer its engine ends.

Tests changed: a proof now says what kind of answer it is, so that test_quarantine merges complete answers; the crashes of "answers on other parts count ..." are 0.7 s apart in place of 0.5 s, since a part turns deadly over 2.5 s in place of 1 s (complete answers come later than first events). Bounds are unchanged.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -115,7 +115,8 @@
                {"reason", r.last_failure},
                {"cause", name_in(cut_cause_names, r.ending.cause)},
                {"begun", r.head_sent ? "yes" : "no"},
-               {"event_arrived", r.event_in_attempt ? "yes" : "no"},
+               {"event_arrived", r.attempt_began_at != time_point{} ? "yes" : "no"},
+               {"written_ms", to_milliseconds(written_time(r))},
                {"age_ms", to_milliseconds(now - r.request.arrived)},
                {"sent_ms_ago", to_milliseconds(now - r.sent_at)},
                {"silence_ms", to_milliseconds(r.ending.silence)},
@@ -236,11 +237,10 @@
         r.awaits_upstream = false;
         r.last_progress_at = runtime::boot_now();
         record_event_time(r, runtime::boot_now());
+        record_event(c, r, guard.id, runtime::boot_now());
         if (first) {
             first = false;
             r.cut.reset();
-            r.event_in_attempt = true;
-            record_first_event(c, r, guard.id, runtime::boot_now());
             guard.prompt_read();
             const double took_ms = 1000 * to_seconds(runtime::boot_now() - sent_at);
             count_outcome(guard, attempt_outcome::served,
@@ -277,6 +277,7 @@
             const header_list headers = headers_to_return(e->headers());
             (void)co_await caller.begin(e->status(), headers);
         }
+        record_complete_answer(c, r, guard.id, runtime::boot_now());
         if (!co_await caller.finish()) {
             record_ending(r, cut_cause::write_failed, caller.failure(), runtime::boot_now());
         }
@@ -288,8 +289,11 @@
     if (!first) {
         r.cut = r.ending;
     }
+    const bool quarantined = is_ended_by_quarantine(c, r, *e);
     e->abort();
-    count_outcome(guard, attempt_outcome::failed);
+    if (!quarantined) {
+        count_outcome(guard, attempt_outcome::failed);
+    }
     co_return attempt_end::unknown;
 }
 
@@ -324,8 +328,11 @@
                       : too_long ? cut_cause::answer_invalid
                                  : cut_cause::upstream_closed,
                       e->failure(), runtime::boot_now());
+        const bool quarantined = is_ended_by_quarantine(c, r, *e);
         e->abort();
-        count_outcome(guard, attempt_outcome::failed);
+        if (!quarantined) {
+            count_outcome(guard, attempt_outcome::failed);
+        }
         co_return attempt_end::unknown;
     }
     answer.status = e->status();
@@ -453,7 +460,8 @@
     in_flight_guard guard(c, to, r);
     r.last_failure.clear();
     r.ending = {};
-    r.event_in_attempt = false;
+    r.attempt_began_at = {};
+    r.attempt_progress_at = {};
     r.sent_to_born_ms = prepared != nullptr ? prepared->target.born_ms : target.born_ms;
     r.sent_at = runtime::boot_now();
     std::shared_ptr<exchange> e;
@@ -526,10 +534,7 @@
             const bool overloaded = u != nullptr && !r.facts.needs.model.empty() &&
                                     !dispatch::load_is_stale(*u, runtime::boot_now()) &&
                                     time_left(r, runtime::boot_now()) <= duration::zero();
-            // An attempt that this gateway ended says nothing about the engine.
-            const bool quarantined = e->ended_by() == end_cause::aborted &&
-                                     judge_request(c, r, runtime::boot_now()).quarantined;
-            if (!overloaded && !quarantined) {
+            if (!overloaded && !is_ended_by_quarantine(c, r, *e)) {
                 count_outcome(guard, attempt_outcome::silent);
             }
             log_failed_attempt(r, id, name_in(send_status_names, sent));
@@ -566,8 +571,8 @@
                           to.expected_ms > 0 ? took_ms / (to.expected_ms + 50) : 0);
         }
         end = co_await forward_buffered(c, caller, r, e, guard);
-        if (end == attempt_end::finished && e->status() / 100 == 2) {
-            record_first_event(c, r, id, runtime::boot_now());
+        if (end == attempt_end::finished && e->status() / 100 == 2 && !e->ends_with_connection()) {
+            record_complete_answer(c, r, id, runtime::boot_now());
         }
     }
     if (end != attempt_end::finished && !caller.caller_left()) {
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -57,13 +57,14 @@
     quarantine::table known;
     // The revision of `known` up to which crashes were passed to control.
     std::uint64_t shared_revision = 0;
-    // When engines last began to answer requests of this gateway, by prompt part; at most
+    // When engines last answered requests of this gateway, by prompt part; at most
     // `quarantine::max_proofs`.
-    std::unordered_map<quarantine::part_id, time_point> own_answers;
-    // When news last changed `known`, and the parts with an answer since then that control was told
-    // of.
+    std::unordered_map<quarantine::part_id, quarantine::proof> own_answers;
+    // When news last changed `known`, and the parts with an answer, or with a complete answer,
+    // since then that control was told of.
     time_point changed_at{};
     std::set<quarantine::part_id> shared_answers;
+    std::set<quarantine::part_id> shared_whole_answers;
     // Crashes that this gateway's own attempts showed in the last seconds.
     std::map<quarantine::incarnation, time_point> own_crashes;
     bool share_scheduled = false;
--- a/libs/gateway/src/quarantine.cpp
+++ b/libs/gateway/src/quarantine.cpp
@@ -1,8 +1,10 @@
 // Records crashes and answers of this gateway's attempts, and shares them.
 #include "quarantine.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <vector>
 
 #include "answer_cut.h"
 #include "quarantine/news.h"
@@ -45,11 +47,28 @@
 void crashes_changed(core& c, time_point now) {
     c.quarantine.changed_at = now;
     c.quarantine.shared_answers.clear();
+    c.quarantine.shared_whole_answers.clear();
     c.metrics.set("burdockdeck_quarantine_crashes",
                   static_cast<double>(c.quarantine.known.crashes.size()));
     abort_quarantined_attempts(c, now);
 }
 
+// Notes an answer of this gateway's upstreams to a request with `parts`.
+std::vector<quarantine::proof*> remember_answer(core& c, const quarantine::part_list& parts,
+                                                time_point at) {
+    if (c.quarantine.own_answers.size() + parts.size() > quarantine::max_proofs) {
+        c.quarantine.own_answers.clear();
+    }
+    std::vector<quarantine::proof*> out;
+    for (const quarantine::part_id part : parts) {
+        quarantine::proof& p = c.quarantine.own_answers[part];
+        p.part = part;
+        p.at = std::max(p.at, at);
+        out.push_back(&p);
+    }
+    return out;
+}
+
 void share_after(core& c, duration delay) {
     if (c.quarantine.share_scheduled) {
         return;
@@ -75,21 +94,21 @@
 }
 
 quarantine::verdict judge_request(const core& c, const request_state& r, time_point now) {
-    if (r.last_event_at != time_point{}) {
-        return {};
-    }
     return quarantine::judge(c.quarantine.known, quarantine::shared_parts(r.facts.needs), now);
 }
 
+bool is_ended_by_quarantine(const core& c, const request_state& r, const exchange& e) {
+    return e.ended_by() == end_cause::aborted &&
+           judge_request(c, r, runtime::boot_now()).quarantined;
+}
+
 void record_broken_attempt(core& c, request_state& r, const std::string& upstream,
                            end_cause ended_by) {
-    if (!r.event_in_attempt) {
-        record_unanswered(c, r, engine_of(r, upstream), ended_by);
-    }
+    record_unanswered(c, r, engine_of(r, upstream), written_time(r), ended_by);
 }
 
 void record_unanswered(core& c, request_state& r, const quarantine::incarnation& engine,
-                       end_cause ended_by) {
+                       duration written_for, end_cause ended_by) {
     const quarantine::part_list parts = quarantine::shared_parts(r.facts.needs);
     if (ended_by != end_cause::upstream_closed || parts.empty()) {
         return;
@@ -102,11 +121,13 @@
     }
     const time_point now = runtime::boot_now();
     quarantine::record_crash(c.quarantine.known, engine, parts, now);
-    r.may_have_crashed_engine = quarantine::may_be_cause(c.quarantine.known, engine, parts, now);
+    r.may_have_crashed_engine =
+        quarantine::may_be_cause(c.quarantine.known, engine, parts, written_for, now);
     log_event(severity::warning, event::engine_crash_suspected,
               {{"request", r.facts.id},
                {"upstream", engine.upstream},
                {"born_ms", engine.born_ms},
+               {"written_ms", to_milliseconds(written_for)},
                {"may_be_cause", r.may_have_crashed_engine ? "yes" : "no"},
                {"crashes_known", static_cast<std::uint64_t>(c.quarantine.known.crashes.size())}});
     c.quarantine.own_crashes.try_emplace(engine, now);
@@ -114,18 +135,30 @@
     share_after(c, share_delay);
 }
 
-void record_first_event(core& c, const request_state& r, const std::string& upstream,
-                        time_point now) {
-    const quarantine::part_list parts = quarantine::shared_parts(r.facts.needs);
-    if (parts.empty()) {
-        return;
+void record_event(core& c, request_state& r, const std::string& upstream, time_point now) {
+    const bool first = r.attempt_began_at == time_point{};
+    const bool had_progress = written_time(r) >= quarantine::min_progress;
+    if (first) {
+        r.attempt_began_at = now;
     }
-    quarantine::record_answer(c.quarantine.known, engine_of(r, upstream), parts, r.sent_at, now);
-    if (c.quarantine.own_answers.size() + parts.size() > quarantine::max_proofs) {
-        c.quarantine.own_answers.clear();
+    r.attempt_progress_at = now;
+    const quarantine::incarnation engine = engine_of(r, upstream);
+    if (first) {
+        quarantine::record_event(c.quarantine.known, engine, r.sent_at);
+    } else if (!had_progress && written_time(r) >= quarantine::min_progress) {
+        const quarantine::part_list parts = quarantine::shared_parts(r.facts.needs);
+        quarantine::record_progress(c.quarantine.known, engine, parts, r.sent_at);
+        remember_answer(c, parts, r.sent_at);
     }
-    for (const quarantine::part_id part : parts) {
-        c.quarantine.own_answers[part] = now;
+}
+
+void record_complete_answer(core& c, const request_state& r, const std::string& upstream,
+                            time_point now) {
+    const quarantine::part_list parts = quarantine::shared_parts(r.facts.needs);
+    quarantine::record_answer(c.quarantine.known, engine_of(r, upstream), parts, r.sent_at, now);
+    for (quarantine::proof* p : remember_answer(c, parts, now)) {
+        p->whole_at = now;
+        p->whole_sent_at = std::max(p->whole_sent_at, r.sent_at);
     }
 }
 
@@ -170,16 +203,23 @@
     news.clear_answered();
     for (const quarantine::proof& p : quarantine::proofs_since(q.known, q.shared_revision)) {
         const auto own = q.own_answers.find(p.part);
-        if (own == q.own_answers.end() || own->second != p.at ||
-            q.shared_answers.contains(p.part)) {
+        if (own == q.own_answers.end()) {
             continue;
         }
-        if (p.at > q.changed_at) {
+        const bool is_new = own->second.at == p.at && !q.shared_answers.contains(p.part);
+        const bool is_new_whole = own->second.whole_at == p.whole_at &&
+                                  p.whole_at != time_point{} &&
+                                  !q.shared_whole_answers.contains(p.part);
+        if (!is_new && !is_new_whole) {
+            continue;
+        }
+        if (own->second.at > q.changed_at) {
             q.shared_answers.insert(p.part);
         }
-        schema::answered_part& a = *news.add_answered();
-        a.set_id(p.part);
-        a.set_age_ms(static_cast<std::uint64_t>(to_milliseconds(now - p.at)));
+        if (own->second.whole_at > q.changed_at) {
+            q.shared_whole_answers.insert(p.part);
+        }
+        quarantine::encode(own->second, now, *news.add_answered());
     }
     q.shared_revision = q.known.revision;
     if (c.send_crash_news && !quarantine::is_empty(news)) {
--- a/libs/gateway/src/quarantine.h
+++ b/libs/gateway/src/quarantine.h
@@ -12,23 +12,30 @@
 
 // Hexadecimal ids, separated by commas.
 [[nodiscard]] std::string to_text(const quarantine::part_list& parts);
-// Whether `r` may be sent to an engine now. A stream that has begun is never quarantined.
+// Whether `r` may be sent to an engine, or go on there, now.
 [[nodiscard]] quarantine::verdict judge_request(const core& c, const request_state& r,
                                                 time_point now);
 
+// True if this gateway ended the exchange of `r` because of the prompt, which says nothing about
+// the engine.
+[[nodiscard]] bool is_ended_by_quarantine(const core& c, const request_state& r, const exchange& e);
+
 // --- Commands
 
 // The current attempt of `r` at `upstream` ended without a complete answer; see record_unanswered.
 void record_broken_attempt(core& c, request_state& r, const std::string& upstream,
                            end_cause ended_by);
-// A send of `r` to `engine` ended before the answer began. Records a crash if the upstream closed
-// the connection without having announced its end, and sets `r.may_have_crashed_engine`. A reset
-// without the head of an answer is no crash: upstreams reset connections beyond their limit.
+// A send of `r` to `engine` ended before the answer was complete, `written_for` after its first
+// event. Records a crash if the upstream closed the connection without having announced its end,
+// and sets `r.may_have_crashed_engine`. A reset without the head of an answer is no crash:
+// upstreams reset connections beyond their limit.
 void record_unanswered(core& c, request_state& r, const quarantine::incarnation& engine,
-                       end_cause ended_by);
-// The first part of the answer to `r` arrived from `upstream`.
-void record_first_event(core& c, const request_state& r, const std::string& upstream,
-                        time_point now);
+                       duration written_for, end_cause ended_by);
+// An event of the answer to `r` arrived from `upstream`.
+void record_event(core& c, request_state& r, const std::string& upstream, time_point now);
+// The answer to `r` from `upstream` is complete.
+void record_complete_answer(core& c, const request_state& r, const std::string& upstream,
+                            time_point now);
 // A load report of the incarnation `born_ms` at `ip` arrived: refutes a crash of it.
 void record_engine_alive(core& c, const std::string& ip, std::uint64_t born_ms, time_point now);
 // Merges crash news from control.
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -354,10 +354,11 @@
                {"parts", to_text(v.parts)},
                {"crashes", v.crashes},
                {"remaining_ms", to_milliseconds(v.remaining)}});
+    std::string reason = "a part of the prompt has crashed engines";
     if (r.may_have_run) {
+        r.last_failure = reason;
         co_await answer_failure(c, caller, r);
     } else {
-        std::string reason = "a part of the prompt has crashed engines";
         co_await refuse(c, caller, r, unavailable, std::move(reason), v.remaining);
     }
     co_return true;
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -37,8 +37,8 @@
     bool repeatable = false;
     // True once an attempt ended with unknown outcome: the request may have been executed.
     bool may_have_run = false;
-    // True once an engine crashed before it began to answer and the prompt may be the cause; the
-    // request is then not sent again.
+    // True once an engine crashed before it answered completely and the prompt may be the cause;
+    // the request is then not sent again.
     bool may_have_crashed_engine = false;
 
     // Streams: whether the head was sent to the caller, and the events forwarded since.
@@ -64,10 +64,11 @@
     // Another upstream that the request is being sent to while the current one is silent.
     std::shared_ptr<gateway::successor> successor;
     // The incarnation of the upstream of the current attempt, when the request was sent to it, and
-    // whether an event has arrived.
+    // when the first and the last event arrived from it; the epoch if none has.
     std::uint64_t sent_to_born_ms = 0;
     time_point sent_at{};
-    bool event_in_attempt = false;
+    time_point attempt_began_at{};
+    time_point attempt_progress_at{};
     // When the current upstream last sent something, or when the request was sent to it.
     time_point last_progress_at{};
     std::string last_failure;
@@ -84,6 +85,11 @@
     return r.repeatable && r.events.events_without_id == 0 && !r.may_have_crashed_engine;
 }
 
+// Time from the first to the last event that arrived in the current attempt.
+[[nodiscard]] inline duration written_time(const request_state& r) {
+    return r.attempt_progress_at - r.attempt_began_at;
+}
+
 // How one attempt ended.
 enum class attempt_end {
     // The caller has the complete answer, has disconnected, or its connection was closed.
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -185,7 +185,8 @@
                             : std::string(name_in(send_status_names, status)),
                    s->sent_on->failure());
     if (!answered) {
-        record_unanswered(c, *r, {s->target.id, s->target.born_ms}, s->sent_on->ended_by());
+        record_unanswered(c, *r, {s->target.id, s->target.born_ms}, duration::zero(),
+                          s->sent_on->ended_by());
     }
     withdraw_successor(*r);
 }
--- a/libs/gateway/tests/test_deadly_parts.cpp
+++ b/libs/gateway/tests/test_deadly_parts.cpp
@@ -97,12 +97,23 @@
     return {asio::ip::make_address("127.0.0.1"), 0};
 }
 
-// Reads a prompt, then streams two events; closes all its connections when it begins to answer a
-// prompt with the deadly part, and serves again at once. Used on its loop only, except `port`.
+// How an engine ends its answer to a prompt with the deadly part.
+enum class crash_point {
+    before_the_head,
+    after_an_event,
+    // The answer has neither a length nor chunks, and ends inside its second event.
+    inside_an_unframed_event,
+};
+
+// Reads a prompt, then streams two events; closes all its connections when it answers a prompt with
+// the deadly part, and serves again at once. Used on its loop only, except `port`.
 class crashing_engine {
 public:
-    crashing_engine(asio::io_context& context, milliseconds reading_time)
-        : context_(context), acceptor_(context, any_port()), reading_time_(reading_time) {
+    crashing_engine(asio::io_context& context, milliseconds reading_time, crash_point point)
+        : context_(context),
+          acceptor_(context, any_port()),
+          reading_time_(reading_time),
+          point_(point) {
         asio::co_spawn(context, accept(), asio::detached);
     }
     [[nodiscard]] std::uint16_t port() const {
@@ -144,15 +155,23 @@
             deadly_requests += deadly ? 1 : 0;
             asio::steady_timer timer(context_, reading_time_);
             (void)co_await timer.async_wait(as_result);
+            const std::string answer_head = "HTTP/1.1 200 OK\r\nId: " + header_in(head, "Id: ") +
+                                            "\r\nContent-Type: text/event-stream\r\n";
+            const std::string begin = answer_head +
+                                      "Transfer-Encoding: chunked\r\n\r\n13\r\nid: 1\ndata: "
+                                      "first\n\n\r\n";
             if (deadly) {
+                const std::string text_before = point_ == crash_point::before_the_head ? ""
+                                                : point_ == crash_point::after_an_event
+                                                    ? begin
+                                                    : answer_head + "\r\nid: 1\ndata: first\n\nid";
+                (void)co_await asio::async_write(*s, asio::buffer(text_before), as_result);
+                timer.expires_after(milliseconds(5));
+                (void)co_await timer.async_wait(as_result);
                 crash();
                 co_return;
             }
-            const std::string answer =
-                "HTTP/1.1 200 OK\r\nId: " + header_in(head, "Id: ") +
-                "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
-                "chunked\r\n\r\n13\r\nid: 1\ndata: first\n\n\r\n12\r\nid: 2\ndata: "
-                "last\n\n\r\n0\r\n\r\n";
+            const std::string answer = begin + "12\r\nid: 2\ndata: last\n\n\r\n0\r\n\r\n";
             (void)co_await asio::async_write(*s, asio::buffer(answer), as_result);
         }
         open_.erase(s);
@@ -170,6 +189,7 @@
     asio::io_context& context_;
     tcp::acceptor acceptor_;
     milliseconds reading_time_;
+    crash_point point_;
     std::set<std::shared_ptr<tcp::socket>> open_;
 };
 
@@ -187,10 +207,12 @@
 public:
     static constexpr std::size_t engine_count = 6;
 
-    explicit fleet(milliseconds reading_time = short_reading_time)
+    explicit fleet(milliseconds reading_time = short_reading_time,
+                   crash_point point = crash_point::before_the_head)
         : front_(outside_, any_port()), work_(asio::make_work_guard(engine_context_)) {
         for (std::size_t i = 0; i < engine_count; ++i) {
-            engines_.push_back(std::make_unique<crashing_engine>(engine_context_, reading_time));
+            engines_.push_back(
+                std::make_unique<crashing_engine>(engine_context_, reading_time, point));
         }
         engine_thread_ = std::thread([this] { engine_context_.run(); });
         gateway_settings settings;
@@ -309,6 +331,32 @@
     CHECK(has_status(f.request("1,a1,5001"), "200"));
 }
 
+// Guards against a part that is cleared by the first events of the answers that crash engines.
+TEST_CASE("a prompt part that crashes engines after events is quarantined") {
+    for (const crash_point point : {crash_point::after_an_event}) {
+        CAPTURE(static_cast<int>(point));
+        fleet f(short_reading_time, point);
+        CHECK(has_status(f.request("1,a1,1001"), "200"));
+        // The caller gets the head and the event; the answer must not look complete.
+        const std::string cut = f.request("1,a2,dead,1002");
+        CHECK(has_status(cut, "200"));
+        CHECK(cut.find("0\r\n\r\n") == std::string::npos);
+        CHECK(f.deadly_requests() == 1);
+        for (int i = 0; i < 8; ++i) {
+            const std::string subject = "b" + std::to_string(i);
+            (void)f.request("1," + subject + ",dead,2" + std::to_string(i));
+        }
+        const int sent = f.deadly_requests();
+        CHECK(sent <= 3);
+        CHECK(has_status(f.request("1,a1,dead,3001"), "503"));
+        CHECK(f.deadly_requests() == sent);
+        for (int i = 0; i < 8; ++i) {
+            const std::string subject = "b" + std::to_string(i);
+            CHECK(has_status(f.request("1," + subject + ",4" + std::to_string(i)), "200"));
+        }
+    }
+}
+
 // Guards against a part that takes engines from each gateway anew.
 TEST_CASE("crashes that one gateway saw quarantine the part at another one") {
     fleet a;
--- a/libs/quarantine/include/quarantine/news.h
+++ b/libs/quarantine/include/quarantine/news.h
@@ -11,6 +11,8 @@
 // What changed in `t` after `revision`.
 [[nodiscard]] schema::crash_news news_since(const table& t, std::uint64_t revision, time_point now);
 [[nodiscard]] bool is_empty(const schema::crash_news& news);
+// Writes `p` into `a`.
+void encode(const proof& p, time_point now, schema::answered_part& a);
 
 // --- Commands
 
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -1,6 +1,6 @@
 // Finds prompt parts that crash engines, and decides which requests to refuse because of them.
 // Every gateway keeps one table; tables are merged with those of the other gateways. A part is
-// suspected by the crashes that it was present at, and cleared by the answers that engines began on
+// suspected by the crashes that it was present at, and cleared by the answers that engines wrote on
 // it.
 #pragma once
 
@@ -26,6 +26,10 @@
 inline constexpr std::size_t max_parts = 16;
 inline constexpr std::size_t max_proofs = 8192;
 
+// A deadly request ends most engines within this time after the first event of its answer; one that
+// goes on for longer counts for the parts of its prompt, though less than a complete answer.
+inline constexpr duration min_progress = std::chrono::seconds(1);
+
 // The id of a prompt part, as in `dispatch::prompt_part`.
 using part_id = std::uint64_t;
 
@@ -51,7 +55,7 @@
     std::uint32_t episode = 0;
     // When the first gateway noticed it.
     time_point at{};
-    // The shared parts of the requests that the engine had not begun to answer.
+    // The shared parts of the requests that the engine had not answered completely.
     std::vector<part_list> unanswered;
     // True once the incarnation has answered a request that was sent after `at`.
     bool refuted = false;
@@ -59,17 +63,22 @@
     std::uint64_t revision = 0;
 };
 
-// The latest time when an engine began to answer a request with this part.
+// The latest times at which engines answered requests with this part; the epoch if they did not.
+// Invariant: whole_sent_at <= whole_at <= at.
 struct proof {
     part_id part = 0;
+    // When a request was sent whose answer went on for `min_progress`, or when an answer was
+    // complete.
     time_point at{};
+    // When an answer was complete, and when a request was sent whose answer was.
+    time_point whole_at{};
+    time_point whole_sent_at{};
 };
 
 struct proof_entry {
-    part_id part = 0;
-    time_point at{};
+    proof known;
     // What `proofs_since` last reported; the epoch if the part has been in no crash.
-    time_point published_at{};
+    proof published;
     std::uint64_t revision = 0;
 };
 
@@ -138,10 +147,11 @@
 // Whether a request with `parts` is to be refused now.
 [[nodiscard]] verdict judge(const table& t, const part_list& parts, time_point now);
 
-// True if a request with `parts` that `engine` had not begun to answer may have crashed it, so that
-// it must not be sent to another engine. Call record_crash first.
+// True if a request with `parts` that `engine` had not answered completely may have crashed it, so
+// that it must not be sent to another engine; `written_for` is the time since the first event of
+// its answer, zero without one. Call record_crash first.
 [[nodiscard]] bool may_be_cause(const table& t, const incarnation& engine, const part_list& parts,
-                                time_point now);
+                                duration written_for, time_point now);
 
 // The crashes that changed after `revision`, for other tables.
 [[nodiscard]] std::vector<crash_record> changed_since(const table& t, std::uint64_t revision);
@@ -152,12 +162,19 @@
 
 // --- Commands
 
-// A request ended because `engine` crashed before it began to answer. All such requests of one
+// A request ended because `engine` crashed before its answer was complete. All such requests of one
 // incarnation make one crash. A request without shared parts is not recorded.
 void record_crash(table& t, const incarnation& engine, const part_list& parts, time_point now);
 
-// `engine` sent the first event of its answer (or the whole answer) to a request sent at `sent_at`.
-// Refusals, errors and an answer's head alone are no proof: an engine may crash after them.
+// `engine` sent an event of its answer to a request sent at `sent_at`: it has not crashed. It may
+// still do so while it writes this answer.
+void record_event(table& t, const incarnation& engine, time_point sent_at);
+
+// `engine` has written an answer to a request sent at `sent_at` for `min_progress` or longer.
+void record_progress(table& t, const incarnation& engine, const part_list& parts,
+                     time_point sent_at);
+
+// `engine` sent its whole answer to a request sent at `sent_at`. Refusals and errors are no proof.
 void record_answer(table& t, const incarnation& engine, const part_list& parts, time_point sent_at,
                    time_point now);
 
--- a/libs/quarantine/src/news.cpp
+++ b/libs/quarantine/src/news.cpp
@@ -20,6 +20,15 @@
 
 }  // namespace
 
+void encode(const proof& p, time_point now, schema::answered_part& a) {
+    a.set_id(p.part);
+    a.set_age_ms(age_ms(p.at, now));
+    if (p.whole_at != time_point{}) {
+        a.set_whole_age_ms(age_ms(p.whole_at, now));
+        a.set_whole_sent_age_ms(age_ms(p.whole_sent_at, now));
+    }
+}
+
 schema::crash_news news_since(const table& t, std::uint64_t revision, time_point now) {
     schema::crash_news news;
     for (const crash_record& r : changed_since(t, revision)) {
@@ -34,9 +43,7 @@
         c.set_refuted(r.refuted);
     }
     for (const proof& p : proofs_since(t, revision)) {
-        schema::answered_part& a = *news.add_answered();
-        a.set_id(p.part);
-        a.set_age_ms(age_ms(p.at, now));
+        encode(p, now, *news.add_answered());
     }
     return news;
 }
@@ -57,7 +64,12 @@
     }
     std::vector<proof> proofs;
     for (const schema::answered_part& a : news.answered()) {
-        proofs.push_back({a.id(), time_of(a.age_ms(), now)});
+        proof p{a.id(), time_of(a.age_ms(), now), {}, {}};
+        if (a.has_whole_age_ms() && a.has_whole_sent_age_ms()) {
+            p.whole_at = time_of(a.whole_age_ms(), now);
+            p.whole_sent_at = time_of(a.whole_sent_age_ms(), now);
+        }
+        proofs.push_back(p);
     }
     return !is_empty(news) && merge(t, crashes, proofs);
 }
--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -23,12 +23,15 @@
 
 // An answer clears its parts of crashes that follow within this time.
 constexpr duration proof_validity = 5min;
-// A part that was answered before has become deadly if this many crashes with it, over at least
-// this time, follow its last answer. Many engines lost at the same moment are no such sign.
+// A part has turned deadly if this many crashes with it, over at least this time, follow its last
+// complete answer. Many engines lost at the same moment are no such sign.
 constexpr std::size_t min_crashes_after_answer = 4;
-constexpr duration min_span_after_answer = 1s;
+constexpr duration min_span_after_answer = 2500ms;
+// The same for a part on which no answer was ever completed.
+constexpr duration min_span_unproved = 1s;
 // It must have been present at one in this many of the crashes meanwhile.
 constexpr std::size_t min_deadly_share_divisor = 2;
+constexpr std::size_t min_unproved_share_divisor = 4;
 // As many other parts must have been answered in the second half of that time: while all engines
 // are down, the lack of an answer says nothing.
 constexpr std::uint32_t min_other_answers = 3;
@@ -121,7 +124,10 @@
     // Times of the unrefuted crashes that the part was present at, ascending.
     std::vector<time_point> present_at;
     std::optional<time_point> answered_at;
-    // True if the crashes since the last answer outweigh it.
+    // As in `proof`.
+    time_point whole_at{};
+    time_point whole_sent_at{};
+    // True if the crashes since the last complete answer outweigh what was answered.
     bool turned_deadly = false;
     // Crashes that the part is not cleared of, and those of them without a common cause.
     std::uint32_t uncleared = 0;
@@ -134,11 +140,11 @@
     return static_cast<std::size_t>(last - first);
 }
 
-// True if at least `min_other_answers` parts were answered after `from`.
+// True if answers on at least `min_other_answers` parts were completed after `from`.
 bool has_answers_since(const table& t, time_point from) {
     std::uint32_t count = 0;
     for (const proof_entry& e : t.proofs) {
-        count += e.at > from;
+        count += e.known.whole_at > from;
         if (count >= min_other_answers) {
             return true;
         }
@@ -153,13 +159,16 @@
     if (!e.answered_at) {
         return std::nullopt;
     }
-    const auto first = std::upper_bound(e.present_at.begin(), e.present_at.end(), *e.answered_at);
+    const auto first = std::upper_bound(e.present_at.begin(), e.present_at.end(), e.whole_sent_at);
     const auto count = static_cast<std::size_t>(e.present_at.end() - first);
-    if (count < min_crashes_after_answer || e.present_at.back() - *first < min_span_after_answer) {
+    const bool unproved = e.whole_at == time_point{};
+    const duration min_span = unproved ? min_span_unproved : min_span_after_answer;
+    if (count < min_crashes_after_answer || e.present_at.back() - *first < min_span) {
         return std::nullopt;
     }
     const time_point middle = *first + (e.present_at.back() - *first) / 2;
-    if (count * min_deadly_share_divisor < count_within(all, middle, middle - *first)) {
+    const std::size_t divisor = unproved ? min_unproved_share_divisor : min_deadly_share_divisor;
+    if (count * divisor < count_within(all, middle, middle - *first)) {
         return std::nullopt;
     }
     return middle;
@@ -169,8 +178,11 @@
     if (!e.answered_at) {
         return false;
     }
-    return *e.answered_at > crash_at ||
-           (crash_at - *e.answered_at <= proof_validity && !e.turned_deadly);
+    if (e.turned_deadly) {
+        // An answer may have gone on for some time and then have crashed its engine.
+        return e.whole_at > crash_at || *e.answered_at > e.present_at.back();
+    }
+    return *e.answered_at > crash_at || crash_at - *e.answered_at <= proof_validity;
 }
 
 // True if crashes at about the same time make it unlikely that this part caused the one at
@@ -215,7 +227,9 @@
     for (auto& [part, e] : by_part) {
         const auto found = t.proof_index.find(part);
         if (found != t.proof_index.end()) {
-            e.answered_at = found->second->at;
+            e.answered_at = found->second->known.at;
+            e.whole_at = found->second->known.whole_at;
+            e.whole_sent_at = found->second->known.whole_sent_at;
         }
         if (const auto middle = turned_deadly_before(e, times)) {
             e.turned_deadly = has_answers_since(t, *middle);
@@ -272,20 +286,28 @@
 
 // --- Proofs
 
-// Makes the proof visible to `proofs_since` if its part was present at a crash, and others know
-// none that is about as recent or later than the crash.
+// True if others should learn of an answer at `at`, after the one at `published_at`: they know none
+// that is about as recent, or later than the crash.
+bool is_news(time_point at, time_point published_at, time_point crash) {
+    if (at <= published_at) {
+        return false;
+    }
+    const bool is_recent = at - published_at < proof_publish_interval;
+    return !is_recent || (crash < at && crash >= published_at);
+}
+
+// Makes the proof visible to `proofs_since` if its part was present at a crash.
 void publish(table& t, proof_entry& e) {
-    const auto present = t.present.find(e.part);
-    if (present == t.present.end() || e.at <= e.published_at) {
+    const auto present = t.present.find(e.known.part);
+    if (present == t.present.end()) {
         return;
     }
-    const bool is_recent = e.at - e.published_at < proof_publish_interval;
     const time_point crash = present->second.latest;
-    if (is_recent && (crash >= e.at || crash < e.published_at)) {
-        return;
+    if (is_news(e.known.at, e.published.at, crash) ||
+        is_news(e.known.whole_at, e.published.whole_at, crash)) {
+        e.published = e.known;
+        e.revision = ++t.revision;
     }
-    e.published_at = e.at;
-    e.revision = ++t.revision;
 }
 
 // What a command changed.
@@ -295,26 +317,30 @@
     bool evidence = false;
 };
 
-void store_proof(table& t, part_id part, time_point at, change& c) {
-    const auto found = t.proof_index.find(part);
+void store_proof(table& t, const proof& p, change& c) {
+    const auto found = t.proof_index.find(p.part);
     if (found != t.proof_index.end()) {
-        if (found->second->at >= at) {
+        proof& known = found->second->known;
+        if (known.at >= p.at && known.whole_at >= p.whole_at &&
+            known.whole_sent_at >= p.whole_sent_at) {
             return;
         }
-        found->second->at = at;
+        known.at = std::max(known.at, p.at);
+        known.whole_at = std::max(known.whole_at, p.whole_at);
+        known.whole_sent_at = std::max(known.whole_sent_at, p.whole_sent_at);
         t.proofs.splice(t.proofs.begin(), t.proofs, found->second);
     } else {
-        t.proofs.push_front({part, at, {}, 0});
-        t.proof_index[part] = t.proofs.begin();
+        t.proofs.push_front({p, {p.part, {}, {}, {}}, 0});
+        t.proof_index[p.part] = t.proofs.begin();
         if (t.proofs.size() > max_proofs) {
-            t.proof_index.erase(t.proofs.back().part);
+            t.proof_index.erase(t.proofs.back().known.part);
             t.proofs.pop_back();
         }
     }
     c.any = true;
     publish(t, t.proofs.front());
     // A later answer on a part that is cleared already changes nothing.
-    const auto present = t.present.find(part);
+    const auto present = t.present.find(p.part);
     c.evidence |= t.awaits_answers || (present != t.present.end() && present->second.uncleared > 0);
 }
 
@@ -373,13 +399,23 @@
     }
 }
 
+// An engine that answers a request sent at `sent_at` has not crashed shortly before.
+void refute(table& t, const incarnation& engine, time_point sent_at, change& c) {
+    const auto found = t.crashes.find(engine);
+    if (found != t.crashes.end() && !found->second.refuted && sent_at > found->second.at &&
+        sent_at - found->second.at <= refutation_window) {
+        found->second.refuted = true;
+        store_changed(t, found->second, c);
+    }
+}
+
 // True if crashes with this part, some time apart, follow its last answer.
 bool has_crashed_since_answer(const table& t, part_id part) {
     const auto answer = t.proof_index.find(part);
     std::optional<time_point> first;
     std::optional<time_point> last;
     for (const auto& [engine, r] : t.crashes) {
-        if (r.refuted || (answer != t.proof_index.end() && answer->second->at > r.at) ||
+        if (r.refuted || (answer != t.proof_index.end() && answer->second->known.at > r.at) ||
             std::none_of(r.unanswered.begin(), r.unanswered.end(), [&](const part_list& parts) {
                 return std::binary_search(parts.begin(), parts.end(), part);
             })) {
@@ -447,21 +483,22 @@
 }
 
 bool may_be_cause(const table& t, const incarnation& engine, const part_list& parts,
-                  time_point now) {
+                  duration written_for, time_point now) {
     const auto record = t.crashes.find(engine);
     if (record == t.crashes.end()) {
         return std::any_of(parts.begin(), parts.end(), [&](part_id p) {
             const auto found = t.proof_index.find(p);
-            return found == t.proof_index.end() || now - found->second->at > proof_validity;
+            return found == t.proof_index.end() || now - found->second->known.at > proof_validity;
         });
     }
     if (record->second.refuted) {
         return false;
     }
-    return std::any_of(t.suspected.begin(), t.suspected.end(),
-                       [&](const suspected_crash& s) {
-                           return s.engine == engine && !common_parts(s.blamed, parts).empty();
-                       }) ||
+    const bool blamed =
+        std::any_of(t.suspected.begin(), t.suspected.end(), [&](const suspected_crash& s) {
+            return s.engine == engine && !common_parts(s.blamed, parts).empty();
+        });
+    return (blamed && written_for < min_progress) ||
            std::any_of(parts.begin(), parts.end(),
                        [&](part_id p) { return has_crashed_since_answer(t, p); });
 }
@@ -481,7 +518,7 @@
     for (const auto& [part, known] : t.present) {
         const auto found = t.proof_index.find(part);
         if (found != t.proof_index.end() && found->second->revision > revision) {
-            out.push_back({part, found->second->at});
+            out.push_back(found->second->known);
         }
     }
     return out;
@@ -509,17 +546,28 @@
     }
 }
 
+void record_event(table& t, const incarnation& engine, time_point sent_at) {
+    change c;
+    refute(t, engine, sent_at, c);
+    finish(t, c);
+}
+
+void record_progress(table& t, const incarnation& engine, const part_list& parts,
+                     time_point sent_at) {
+    change c;
+    refute(t, engine, sent_at, c);
+    for (const part_id p : parts) {
+        store_proof(t, {p, sent_at, {}, {}}, c);
+    }
+    finish(t, c);
+}
+
 void record_answer(table& t, const incarnation& engine, const part_list& parts, time_point sent_at,
                    time_point now) {
     change c;
-    const auto found = t.crashes.find(engine);
-    if (found != t.crashes.end() && !found->second.refuted && sent_at > found->second.at &&
-        sent_at - found->second.at <= refutation_window) {
-        found->second.refuted = true;
-        store_changed(t, found->second, c);
-    }
+    refute(t, engine, sent_at, c);
     for (const part_id p : parts) {
-        store_proof(t, p, now, c);
+        store_proof(t, {p, now, now, sent_at}, c);
     }
     finish(t, c);
 }
@@ -532,7 +580,7 @@
 
 bool merge(table& t, const proof& p) {
     change c;
-    store_proof(t, p.part, p.at, c);
+    store_proof(t, p, c);
     return finish(t, c);
 }
 
@@ -542,7 +590,7 @@
         merge_crash(t, r, c);
     }
     for (const proof& p : proofs) {
-        store_proof(t, p.part, p.at, c);
+        store_proof(t, p, c);
     }
     return finish(t, c);
 }
--- a/libs/quarantine/tests/test_quarantine.cpp
+++ b/libs/quarantine/tests/test_quarantine.cpp
@@ -33,6 +33,11 @@
     record_answer(t, engine(99'999), parts, now - 100ms, now);
 }
 
+// A proof of other tables: a request that was answered completely at once.
+proof complete_answer(part_id part, time_point now) {
+    return {part, now, now, now};
+}
+
 // `count` crashes, one a second from `from`, each with the first and the deadly part alone.
 void crash_in_turn(table& t, unsigned count, duration from) {
     for (unsigned i = 0; i < count; ++i) {
@@ -152,13 +157,13 @@
     table t;
     answer(t, {first_part, deadly}, at(0s));
     for (unsigned i = 0; i < 5; ++i) {
-        record_crash(t, engine(i), {deadly}, at(1s + i * 500ms));
+        record_crash(t, engine(i), {deadly}, at(1s + i * 700ms));
     }
     REQUIRE_FALSE(judge(t, {deadly}, at(4s)).quarantined);
-    merge(t, proof{first_part, at(2500ms)});
-    merge(t, proof{subject, at(2500ms)});
+    merge(t, complete_answer(first_part, at(2500ms)));
+    merge(t, complete_answer(subject, at(2500ms)));
     REQUIRE_FALSE(judge(t, {deadly}, at(4s)).quarantined);
-    merge(t, proof{subject + 1, at(2500ms)});
+    merge(t, complete_answer(subject + 1, at(2500ms)));
     CHECK(judge(t, {deadly}, at(4s)).quarantined);
 }
 
@@ -232,20 +237,20 @@
     table t;
     answer(t, {first_part, subject}, at(0s));
     record_crash(t, engine(1), {first_part, subject}, at(1s));
-    CHECK_FALSE(may_be_cause(t, engine(1), {first_part, subject}, at(1s)));
+    CHECK_FALSE(may_be_cause(t, engine(1), {first_part, subject}, 0s, at(1s)));
     record_crash(t, engine(1), {first_part, deadly, subject}, at(1s));
-    CHECK(may_be_cause(t, engine(1), {first_part, deadly, subject}, at(1s)));
-    CHECK_FALSE(may_be_cause(t, engine(1), {first_part, subject}, at(1s)));
-    CHECK_FALSE(may_be_cause(t, engine(1), {}, at(1s)));
+    CHECK(may_be_cause(t, engine(1), {first_part, deadly, subject}, 0s, at(1s)));
+    CHECK_FALSE(may_be_cause(t, engine(1), {first_part, subject}, 0s, at(1s)));
+    CHECK_FALSE(may_be_cause(t, engine(1), {}, 0s, at(1s)));
     // A subject without an answer may have been the cause, until a better explanation is known.
     record_crash(t, engine(1), {first_part, subject + 1}, at(1s));
-    CHECK(may_be_cause(t, engine(1), {first_part, subject + 1}, at(1s)));
+    CHECK(may_be_cause(t, engine(1), {first_part, subject + 1}, 0s, at(1s)));
     answer(t, {first_part}, at(1500ms));
     record_crash(t, engine(2), {first_part, deadly, subject}, at(2s));
-    CHECK_FALSE(may_be_cause(t, engine(1), {first_part, subject + 1}, at(2s)));
+    CHECK_FALSE(may_be_cause(t, engine(1), {first_part, subject + 1}, 0s, at(2s)));
     // Without a record of the crash, only answers count.
-    CHECK(may_be_cause(t, engine(3), {first_part, deadly}, at(2s)));
-    CHECK_FALSE(may_be_cause(t, engine(3), {first_part, subject}, at(2s)));
+    CHECK(may_be_cause(t, engine(3), {first_part, deadly}, 0s, at(2s)));
+    CHECK_FALSE(may_be_cause(t, engine(3), {first_part, subject}, 0s, at(2s)));
 }
 
 TEST_CASE("what used to be answered is not repeated once it was at two crashes") {
@@ -254,11 +259,54 @@
     record_crash(t, engine(1), {first_part, deadly}, at(1s));
     // Engines lost at the same moment.
     record_crash(t, engine(2), {first_part, deadly}, at(1050ms));
-    CHECK_FALSE(may_be_cause(t, engine(2), {first_part, deadly}, at(1100ms)));
+    CHECK_FALSE(may_be_cause(t, engine(2), {first_part, deadly}, 0s, at(1100ms)));
     record_crash(t, engine(3), {first_part, deadly}, at(2s));
-    CHECK(may_be_cause(t, engine(3), {first_part, deadly}, at(2s)));
+    CHECK(may_be_cause(t, engine(3), {first_part, deadly}, 0s, at(2s)));
     answer(t, {first_part, deadly}, at(3s));
-    CHECK_FALSE(may_be_cause(t, engine(3), {first_part, deadly}, at(3s)));
+    CHECK_FALSE(may_be_cause(t, engine(3), {first_part, deadly}, 0s, at(3s)));
+}
+
+// Guards against a part that crashes engines after the first events of each answer.
+TEST_CASE("events before a crash do not clear a part") {
+    table t;
+    answer(t, {first_part}, at(0s));
+    for (unsigned i = 0; i < 2; ++i) {
+        const time_point began = at(1s + i * 1s);
+        record_event(t, engine(i), began - 100ms);
+        record_crash(t, engine(i), {first_part, deadly}, began + 5ms);
+    }
+    CHECK(judge(t, {first_part, deadly, subject}, at(3s)).quarantined);
+    CHECK_FALSE(judge(t, {first_part, subject}, at(3s)).quarantined);
+}
+
+// Guards against a part that crashes engines in the middle of long answers, which are a sign of a
+// sound one for some time.
+TEST_CASE("answers that go on for some time clear a part until they have ended four engines") {
+    table t;
+    for (unsigned i = 0; i < 4; ++i) {
+        const time_point sent = at(1s + i * 1s);
+        record_progress(t, engine(i), {first_part, deadly}, sent);
+        CHECK_FALSE(judge(t, {first_part, deadly}, sent).quarantined);
+        answer(t, {first_part, subject, subject + 1}, sent + 500ms);
+        record_crash(t, engine(i), {first_part, deadly}, sent + 1500ms);
+    }
+    CHECK(judge(t, {first_part, deadly}, at(6s)).quarantined);
+    // Sent before the last crash: it may yet crash its engine.
+    record_progress(t, engine(9), {first_part, deadly}, at(5s));
+    CHECK(judge(t, {first_part, deadly}, at(7s)).quarantined);
+    CHECK_FALSE(judge(t, {first_part, subject}, at(7s)).quarantined);
+    answer(t, {first_part, deadly}, at(8s));
+    CHECK_FALSE(judge(t, {first_part, deadly}, at(8s)).quarantined);
+}
+
+TEST_CASE("answers that went on for some time may be continued after one crash") {
+    table t;
+    answer(t, {first_part}, at(0s));
+    record_crash(t, engine(1), {first_part, deadly}, at(1s));
+    CHECK(may_be_cause(t, engine(1), {first_part, deadly}, min_progress - 1ms, at(1s)));
+    CHECK_FALSE(may_be_cause(t, engine(1), {first_part, deadly}, min_progress, at(1s)));
+    record_crash(t, engine(2), {first_part, deadly}, at(2s));
+    CHECK(may_be_cause(t, engine(2), {first_part, deadly}, min_progress, at(2s)));
 }
 
 TEST_CASE("a gateway that saw one crash refuses what the others saw") {
@@ -299,7 +347,7 @@
     CHECK(proofs_since(t, crash).front().at > at(1300ms));
     // A proof that comes back a little later than it went out is not sent on again.
     for (const proof& p : proofs_since(t, 0)) {
-        merge(t, proof{p.part, p.at + 300ms});
+        merge(t, proof{p.part, p.at + 300ms, p.whole_at + 300ms, p.whole_sent_at + 300ms});
     }
     CHECK(t.revision == crash + 1);
 }
@@ -319,7 +367,12 @@
                 r.unanswered.push_back({10 + pick(6), 10 + pick(6), 1 + pick(3)});
             }
             records.push_back(r);
-            proofs.push_back({1 + pick(15), at(pick(60'000) * 1ms)});
+            proof p{1 + pick(15), at(pick(60'000) * 1ms), {}, {}};
+            if (pick(2) == 0) {
+                p.whole_at = p.at - pick(2) * 1s;
+                p.whole_sent_at = p.whole_at - pick(5'000) * 1ms;
+            }
+            proofs.push_back(p);
         }
         table reference;
         for (int order = 0; order < 6; ++order) {
@@ -374,7 +427,7 @@
             r.unanswered.push_back(part_list(500, i));
             merge(t, r);
         } else if (kind < 10) {
-            merge(t, proof{pick(1'000'000), now});
+            merge(t, complete_answer(pick(1'000'000), now));
         } else {
             record_answer(t, e, parts, now - 50ms, now);
         }
