Gateways: a stream without a length that ends inside an event is a crash of its engine

Cause: the end of the connection completes such an answer for the parser, so that the attempt had no cause of its end. It was not recorded as a crash, and one that ended after a whole event counted as a proof of its prompt.

Change: a truncated answer is marked as closed by the upstream, and an answer that ends with its connection proves nothing, since an engine that crashes ends its answers in the same way.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -209,6 +209,9 @@
         if (status == body_status::complete && !may_be_complete(*e, splitter)) {
             r.last_failure = splitter.events == 0 ? "stream ended before its first event"
                                                   : "stream ended inside an event";
+            if (e->ends_with_connection()) {
+                e->mark_truncated();
+            }
             status = body_status::broken;
         } else if (status == body_status::complete) {
             events += splitter.pending;
@@ -277,7 +280,10 @@
             const header_list headers = headers_to_return(e->headers());
             (void)co_await caller.begin(e->status(), headers);
         }
-        record_complete_answer(c, r, guard.id, runtime::boot_now());
+        // An engine that crashes also ends an answer without a length.
+        if (!e->ends_with_connection()) {
+            record_complete_answer(c, r, guard.id, runtime::boot_now());
+        }
         if (!co_await caller.finish()) {
             record_ending(r, cut_cause::write_failed, caller.failure(), runtime::boot_now());
         }
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -263,6 +263,11 @@
     co_return parser_->is_done() ? body_status::complete : body_status::more;
 }
 
+void exchange::mark_truncated() {
+    failure_ = "read body: the connection ended inside the answer";
+    set_cause(end_cause::upstream_closed);
+}
+
 bool exchange::has_unread_bytes() const {
     char byte = 0;
     return ::recv(c_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -83,6 +83,9 @@
     // Appends the next bytes of the body to `into`.
     boost::asio::awaitable<body_status> read(std::string& into, duration timeout);
 
+    // The answer, which ends with its connection, was not complete: the upstream broke it off.
+    void mark_truncated();
+
     // True if bytes of the answer have arrived that were not read yet.
     [[nodiscard]] bool has_unread_bytes() const;
     // Bytes of the request that the upstream has not acknowledged, or "unknown"; for logs.
--- a/libs/gateway/tests/test_deadly_parts.cpp
+++ b/libs/gateway/tests/test_deadly_parts.cpp
@@ -333,7 +333,8 @@
 
 // Guards against a part that is cleared by the first events of the answers that crash engines.
 TEST_CASE("a prompt part that crashes engines after events is quarantined") {
-    for (const crash_point point : {crash_point::after_an_event}) {
+    for (const crash_point point :
+         {crash_point::after_an_event, crash_point::inside_an_unframed_event}) {
         CAPTURE(static_cast<int>(point));
         fleet f(short_reading_time, point);
         CHECK(has_status(f.request("1,a1,1001"), "200"));
