Quarantine: a part without a complete answer is found where little else is answered

Cause: an answer that goes on for 1 s counts for its parts until four crashes outweigh it, which needs complete answers on three other parts.

Evidence: the two new cases of test_quarantine fail on the code before (2 of 70,602 assertions).

Change: for a part on which no answer was ever completed, one other part is enough, and from eight crashes on none is needed. Parts with a complete answer are judged as before, so that the loss of all engines convicts none of them.

--- a/libs/quarantine/src/quarantine.cpp
+++ b/libs/quarantine/src/quarantine.cpp
@@ -35,6 +35,11 @@
 // As many other parts must have been answered in the second half of that time: while all engines
 // are down, the lack of an answer says nothing.
 constexpr std::uint32_t min_other_answers = 3;
+// The same for a part on which no answer was ever completed; routes may share few parts.
+constexpr std::uint32_t min_other_answers_unproved = 1;
+// Crashes that convict such a part without any other answers: engines may all crash too soon to
+// complete one.
+constexpr std::size_t min_crashes_without_answers = 8;
 // Crashes closer than this are one event, such as the loss of a failure domain.
 constexpr duration same_moment = 200ms;
 // Crashes this close may have a common cause outside the engines. If there are at least
@@ -140,12 +145,12 @@
     return static_cast<std::size_t>(last - first);
 }
 
-// True if answers on at least `min_other_answers` parts were completed after `from`.
-bool has_answers_since(const table& t, time_point from) {
+// True if answers on at least `wanted` parts were completed after `from`.
+bool has_answers_since(const table& t, std::uint32_t wanted, time_point from) {
     std::uint32_t count = 0;
     for (const proof_entry& e : t.proofs) {
         count += e.known.whole_at > from;
-        if (count >= min_other_answers) {
+        if (count >= wanted) {
             return true;
         }
     }
@@ -232,7 +237,11 @@
             e.whole_sent_at = found->second->known.whole_sent_at;
         }
         if (const auto middle = turned_deadly_before(e, times)) {
-            e.turned_deadly = has_answers_since(t, *middle);
+            const bool unproved = e.whole_at == time_point{};
+            e.turned_deadly =
+                (unproved && e.present_at.size() >= min_crashes_without_answers) ||
+                has_answers_since(t, unproved ? min_other_answers_unproved : min_other_answers,
+                                  *middle);
             t.awaits_answers |= !e.turned_deadly;
         }
         for (const time_point at : e.present_at) {
--- a/libs/quarantine/tests/test_quarantine.cpp
+++ b/libs/quarantine/tests/test_quarantine.cpp
@@ -299,6 +299,33 @@
     CHECK_FALSE(judge(t, {first_part, deadly}, at(8s)).quarantined);
 }
 
+// Guards against a deadly part that is never found where requests share few other parts.
+TEST_CASE("one other part is enough to find a part without a complete answer") {
+    table t;
+    for (unsigned i = 0; i < 4; ++i) {
+        const time_point sent = at(1s + i * 1s);
+        record_progress(t, engine(i), {first_part, deadly}, sent);
+        answer(t, {first_part}, sent + 500ms);
+        record_crash(t, engine(i), {first_part, deadly}, sent + 1500ms);
+        record_crash(t, engine(i), {first_part}, sent + 1500ms);
+    }
+    CHECK(judge(t, {first_part, deadly}, at(6s)).quarantined);
+    CHECK_FALSE(judge(t, {first_part}, at(6s)).quarantined);
+}
+
+// Guards against a deadly part that keeps a small fleet from completing any answer.
+TEST_CASE("eight crashes convict a part without a complete answer while nothing is answered") {
+    table t;
+    answer(t, {first_part}, at(0s));
+    for (unsigned i = 0; i < 8; ++i) {
+        CHECK_FALSE(judge(t, {first_part, deadly}, at(2s + i * 500ms)).quarantined);
+        record_progress(t, engine(i), {first_part, deadly}, at(1s + i * 500ms));
+        record_crash(t, engine(i), {first_part, deadly}, at(2500ms + i * 500ms));
+    }
+    CHECK(judge(t, {first_part, deadly}, at(7s)).quarantined);
+    CHECK_FALSE(judge(t, {first_part}, at(7s)).quarantined);
+}
+
 TEST_CASE("answers that went on for some time may be continued after one crash") {
     table t;
     answer(t, {first_part}, at(0s));
