--- a/libs/placement/src/fill.cpp
+++ b/libs/placement/src/fill.cpp
@@ -12,7 +12,7 @@
 
 struct wanted_copy {
     double gain = 0;
-    std::string model;
+    model_index model = 0;
 
     bool operator<(const wanted_copy& other) const {
         return gain < other.gain;
@@ -20,20 +20,20 @@
 };
 
 // Improvement of the objective by one more copy of `model`, before the cost of its load.
-double gain_of_copy(const plan_state& p, const std::string& model) {
-    if (copies_of(p, model) == 0) {
-        const double engines = demand_of(p.f, model).engines;
-        return presence_value(p, model) > 0 ? presence_value(p, model) + cost_of(engines) : 0;
+double gain_of_copy(const planned_model& model) {
+    if (model.copies == 0) {
+        const double presence = presence_value(model);
+        return presence > 0 ? presence + cost_of(model.demand.engines) : 0;
     }
-    const double capacity = capacity_of(p, model);
-    return capacity * cost_of(utilization_from(p, model)) -
-           (capacity + 1) * cost_of(utilization_from(p, model, capacity + 1));
+    return model.capacity * cost_of(utilization_from(model)) -
+           (model.capacity + 1) * cost_of(utilization_from(model, model.capacity + 1));
 }
 
-std::vector<std::size_t> empty_engines(const plan_state& p) {
-    std::vector<std::size_t> out;
-    for (std::size_t i = 0; i < p.held.size(); ++i) {
-        if (!p.unavailable.contains(i) && p.held[i].empty() && p.f.engines[i].models.empty()) {
+std::vector<engine_index> empty_engines(const plan_state& p) {
+    std::vector<engine_index> out;
+    for (engine_index i = 0; i < p.engines.size(); ++i) {
+        const planned_engine& e = p.engines[i];
+        if (e.available && e.held == 0 && e.announced.empty()) {
             out.push_back(i);
         }
     }
@@ -44,16 +44,16 @@
 // host has the weights of the fewest models, because a host with many may be the only one with
 // the weights of some of them. Loading from the store takes longer than waiting for an engine with
 // the weights on its host, so the store is used only if no such engine has memory for the model.
-std::optional<std::size_t> engine_for(const plan_state& p, const std::vector<std::size_t>& empty,
-                                      const std::string& model) {
-    std::optional<std::size_t> from_store;
-    std::optional<std::size_t> from_host;
-    for (const std::size_t i : empty) {
+std::optional<engine_index> engine_for(const plan_state& p, const std::vector<engine_index>& empty,
+                                       model_index model) {
+    std::optional<engine_index> from_store;
+    std::optional<engine_index> from_host;
+    for (const engine_index i : empty) {
         const engine_state& e = p.f.engines[i];
-        if (p.unavailable.contains(i) || e.weights_capacity_mb < size_of(p.f, model)) {
+        if (!p.engines[i].available || e.weights_capacity_mb < p.models[model].profile.weights_mb) {
             continue;
         }
-        const bool has_weights = e.local_weights.contains(model);
+        const bool has_weights = p.engines[i].has_weights[model];
         if (has_weights &&
             (!from_host || e.local_weights.size() < p.f.engines[*from_host].local_weights.size())) {
             from_host = i;
@@ -68,10 +68,15 @@
 
 std::vector<move> fill_empty_engines(plan_state& p) {
     std::vector<move> moves;
-    const std::vector<std::size_t> empty = empty_engines(p);
+    const std::vector<engine_index> empty = empty_engines(p);
+    if (empty.empty()) {
+        return moves;
+    }
     std::priority_queue<wanted_copy> wanted;
-    for (const auto& [model, size] : p.f.models) {
-        wanted.push({gain_of_copy(p, model), model});
+    for (model_index model = 0; model < p.models.size(); ++model) {
+        if (p.models[model].declared) {
+            wanted.push({gain_of_copy(p.models[model]), model});
+        }
     }
     while (moves.size() < empty.size() && !wanted.empty()) {
         const wanted_copy next = wanted.top();
@@ -80,16 +85,17 @@
         if (!engine) {
             continue;
         }
-        const engine_state& e = p.f.engines[*engine];
-        const bool from_store = !e.local_weights.contains(next.model);
+        planned_engine& e = p.engines[*engine];
+        const planned_model& model = p.models[next.model];
+        const bool from_store = !e.has_weights[next.model];
         if (next.gain <= (from_store ? store_load_cost : local_load_cost)) {
             continue;
         }
-        moves.push_back({e.id, move_kind::load, next.model, from_store,
-                         "empty engine, gain " + std::to_string(next.gain)});
+        moves.push_back({p.f.engines[*engine].id, move_kind::load, std::string(model.name),
+                         from_store, "empty engine, gain " + std::to_string(next.gain)});
         note_load(p, *engine, next.model, from_store);
-        p.utilization[*engine] = utilization_from(p, next.model);
-        wanted.push({gain_of_copy(p, next.model), next.model});
+        e.utilization = utilization_from(model);
+        wanted.push({gain_of_copy(model), next.model});
     }
     return moves;
 }
--- a/libs/placement/src/moves.cpp
+++ b/libs/placement/src/moves.cpp
@@ -3,8 +3,9 @@
 #include "placement/moves.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
-#include <limits>
+#include <optional>
 
 #include "fill.h"
 #include "plan_state.h"
@@ -34,24 +35,50 @@
 // Time without orders for an engine that refused one: about the duration of a load from its disk.
 constexpr duration refusal_backoff = std::chrono::milliseconds(900);
 
+// The utilizations that a candidate changes, by engine. One object serves all candidates of a
+// search: `clear` takes constant time.
+class utilization_changes {
+public:
+    explicit utilization_changes(std::size_t engines) : changes_(engines) {}
+
+    void clear() {
+        ++round_;
+    }
+    [[nodiscard]] double get(engine_index engine, double unchanged) const {
+        const change& c = changes_[engine];
+        return c.round == round_ ? c.utilization : unchanged;
+    }
+    void set(engine_index engine, double utilization) {
+        changes_[engine] = {round_, utilization};
+    }
+
+private:
+    struct change {
+        std::uint64_t round = 0;
+        double utilization = 0;
+    };
+    std::uint64_t round_ = 1;
+    std::vector<change> changes_;
+};
+
 // Change of the objective if a copy of `model` is added or removed at `engine`. `copies` is the
 // number of copies afterwards. Stores the resulting utilizations in `changed`.
-double redistribute(const plan_state& p, const std::string& model, std::size_t copies,
-                    std::size_t engine, bool added, std::map<std::size_t, double>& changed) {
+double redistribute(const plan_state& p, model_index model, std::size_t copies, engine_index engine,
+                    bool added, utilization_changes& changed) {
+    const planned_model& m = p.models[model];
     const double own_capacity = p.f.engines[engine].capacity;
-    const double capacity = capacity_of(p, model) + (added ? own_capacity : -own_capacity);
-    const double before = utilization_from(p, model);
-    const double after = copies == 0 ? 0 : utilization_from(p, model, capacity);
+    const double capacity = m.capacity + (added ? own_capacity : -own_capacity);
+    const double before = utilization_from(m);
+    const double after = copies == 0 ? 0 : utilization_from(m, capacity);
     double sum = 0;
-    const auto adjust = [&](std::size_t i, bool holds, bool will_hold) {
-        const auto known = changed.find(i);
-        const double old = known == changed.end() ? p.utilization[i] : known->second;
+    const auto adjust = [&](engine_index i, bool holds, bool will_hold) {
+        const double old = changed.get(i, p.engines[i].utilization);
         const double updated = old - (holds ? before : 0) + (will_hold ? after : 0);
         sum += p.f.engines[i].capacity * (cost_of(updated) - cost_of(old));
-        changed[i] = updated;
+        changed.set(i, updated);
     };
     bool holds_already = false;
-    for (const std::size_t i : holders_of(p, model)) {
+    for (const engine_index i : m.holders) {
         holds_already = holds_already || i == engine;
         adjust(i, true, i != engine || added);
     }
@@ -61,161 +88,201 @@
     return sum;
 }
 
-bool recently_loaded(const plan_state& p, std::size_t engine, const std::string& model) {
-    const auto found = p.m.loaded_at.find({p.f.engines[engine].id, model});
+bool recently_loaded(const plan_state& p, engine_index engine, model_index model) {
+    const auto found =
+        p.m.loaded_at.find({p.f.engines[engine].id, std::string(p.models[model].name)});
     return found != p.m.loaded_at.end() && p.now - found->second < p.s.min_residency;
 }
 
 // True if the model is requested and no engine holds it or is about to.
-bool is_missing(const plan_state& p, const std::string& model) {
-    const model_demand d = demand_of(p.f, model);
-    return copies_of(p, model) == 0 && (d.unplaced || d.engines > idle_demand);
+bool is_missing(const planned_model& m) {
+    return m.copies == 0 && (m.demand.unplaced || m.demand.engines > idle_demand);
 }
 
 // A copy of a model in demand may be unloaded only if the copies at other engines that serve now,
 // and will still be held after the pending orders, can take its load. For a model that is missing
 // it is enough that another copy serves: requests at a crowded copy wait, the others are refused.
-bool can_unload(const plan_state& p, std::size_t engine, const std::string& model,
-                bool for_missing) {
-    const double engines = demand_of(p.f, model).engines;
+bool can_unload(const plan_state& p, engine_index engine, model_index model, bool for_missing) {
+    const double engines = p.models[model].demand.engines;
     if (engines <= idle_demand) {
         return true;
     }
     double remaining = 0;
-    for (const std::size_t i : holders_of(p, model)) {
-        const engine_state& e = p.f.engines[i];
-        remaining += e.models.contains(model) && i != engine ? e.capacity : 0;
+    for (const engine_index i : p.models[model].holders) {
+        const bool serves = p.engines[i].announces[model] && i != engine;
+        remaining += serves ? p.f.engines[i].capacity : 0;
     }
     return remaining > 0 && (for_missing || engines / remaining <= max_demand_per_copy);
 }
 
+// One or two models to unload.
+struct victim_set {
+    std::array<model_index, 2> models{};
+    std::size_t size = 0;
+
+    [[nodiscard]] const model_index* begin() const {
+        return models.data();
+    }
+    [[nodiscard]] const model_index* end() const {
+        return models.data() + size;
+    }
+};
+
 struct candidate {
-    std::size_t engine = 0;
-    std::string model;
-    std::vector<std::string> victims;
-    double gain = 0;
+    engine_index engine = 0;
+    model_index model = 0;
+    victim_set victims;
     bool from_store = false;
+    double gain = 0;
 };
 
 // Improvement of the objective by the candidate, after the cost of its loads and unloads.
-double gain_of(const plan_state& p, const candidate& c) {
-    std::map<std::size_t, double> changed;
+double gain_of(const plan_state& p, const candidate& c, utilization_changes& changed) {
+    changed.clear();
     double change = 0;
-    for (const std::string& victim : c.victims) {
-        const std::size_t copies = copies_of(p, victim);
-        change += redistribute(p, victim, copies - 1, c.engine, false, changed) + unload_cost;
-        change += copies == 1 ? presence_value(p, victim) : 0;
+    for (const model_index victim : c.victims) {
+        const planned_model& v = p.models[victim];
+        change += redistribute(p, victim, v.copies - 1, c.engine, false, changed) + unload_cost;
+        change += v.copies == 1 ? presence_value(v) : 0;
     }
-    const std::size_t copies = copies_of(p, c.model);
-    change += redistribute(p, c.model, copies + 1, c.engine, true, changed);
+    const planned_model& m = p.models[c.model];
+    change += redistribute(p, c.model, m.copies + 1, c.engine, true, changed);
     change += c.from_store ? store_load_cost : local_load_cost;
-    if (copies == 0) {
-        const duration wait = load_time(p.f, p.f.engines[c.engine], c.model) +
-                              (c.victims.empty() ? duration::zero() : swap_overhead);
-        change -= presence_value(p, c.model);
-        change += (is_missing(p, c.model) ? demanded_wait_cost_per_s : idle_wait_cost_per_s) *
-                  to_seconds(wait);
+    if (m.copies == 0) {
+        const duration wait = load_time(p, c.engine, c.model) +
+                              (c.victims.size == 0 ? duration::zero() : swap_overhead);
+        change -= presence_value(m);
+        change +=
+            (is_missing(m) ? demanded_wait_cost_per_s : idle_wait_cost_per_s) * to_seconds(wait);
     }
     return -change;
 }
 
-// Sets of one or two models whose unloading frees at least `needed` megabytes.
-std::vector<std::vector<std::string>> victim_sets(const plan_state& p, std::size_t engine,
-                                                  double needed, bool for_missing) {
-    std::vector<std::string> movable;
-    for (const std::string& model : p.f.engines[engine].models) {
+// Models that `engine` may unload now.
+std::vector<model_index> movable_models(const plan_state& p, engine_index engine,
+                                        bool for_missing) {
+    std::vector<model_index> movable;
+    for (const model_index model : p.engines[engine].announced) {
         const bool settled = for_missing || !recently_loaded(p, engine, model);
         if (settled && can_unload(p, engine, model, for_missing)) {
             movable.push_back(model);
         }
     }
-    std::vector<std::vector<std::string>> sets;
+    return movable;
+}
+
+// Calls `visit` with each set of one or two of the `movable` models whose unloading frees at least
+// `needed` megabytes.
+template <class Visit>
+void for_each_victim_set(const plan_state& p, const std::vector<model_index>& movable,
+                         double needed, Visit visit) {
+    const auto size_at = [&](std::size_t i) { return p.models[movable[i]].profile.weights_mb; };
     for (std::size_t i = 0; i < movable.size(); ++i) {
-        if (size_of(p.f, movable[i]) >= needed) {
-            sets.push_back({movable[i]});
+        if (size_at(i) >= needed) {
+            visit(victim_set{{movable[i], 0}, 1});
         }
         for (std::size_t k = i + 1; k < movable.size(); ++k) {
-            const double both = size_of(p.f, movable[i]) + size_of(p.f, movable[k]);
-            if (both >= needed && size_of(p.f, movable[i]) < needed &&
-                size_of(p.f, movable[k]) < needed) {
-                sets.push_back({movable[i], movable[k]});
+            if (size_at(i) + size_at(k) >= needed && size_at(i) < needed && size_at(k) < needed) {
+                visit(victim_set{{movable[i], movable[k]}, 2});
             }
         }
     }
-    return sets;
-}
-
-void consider(const plan_state& p, candidate c, candidate& best) {
-    c.gain = gain_of(p, c);
-    if (c.gain > best.gain) {
-        best = std::move(c);
-    }
 }
 
 // Engines that may get an order, those with most spare capacity first.
-std::vector<std::size_t> engines_by_spare_capacity(const plan_state& p) {
-    std::vector<std::size_t> out;
-    for (std::size_t i = 0; i < p.held.size(); ++i) {
-        if (!p.unavailable.contains(i)) {
+std::vector<engine_index> engines_by_spare_capacity(const plan_state& p) {
+    std::vector<engine_index> out;
+    for (engine_index i = 0; i < p.engines.size(); ++i) {
+        if (p.engines[i].available) {
             out.push_back(i);
         }
     }
-    const auto spare = [&](std::size_t i) {
-        return p.f.engines[i].capacity * (1 - p.utilization[i]);
+    const auto spare = [&](engine_index i) {
+        return p.f.engines[i].capacity * (1 - p.engines[i].utilization);
     };
     std::stable_sort(out.begin(), out.end(),
-                     [&](std::size_t a, std::size_t b) { return spare(a) > spare(b); });
+                     [&](engine_index a, engine_index b) { return spare(a) > spare(b); });
     return out;
 }
 
+// What is the same for all candidates of one search. `movable` holds the models that each engine
+// may unload, for a model that is missing and for others, as far as they have been asked for.
+struct search {
+    explicit search(const plan_state& state) : p(state), changed(state.engines.size()) {
+        for (auto& movable : movable_models_of) {
+            movable.resize(state.engines.size());
+        }
+    }
+
+    const std::vector<model_index>& movable(engine_index engine, bool for_missing) {
+        auto& known = movable_models_of[for_missing ? 1 : 0][engine];
+        if (!known) {
+            known = movable_models(p, engine, for_missing);
+        }
+        return *known;
+    }
+
+    const plan_state& p;
+    utilization_changes changed;
+    std::array<std::vector<std::optional<std::vector<model_index>>>, 2> movable_models_of;
+};
+
 candidate best_candidate(const plan_state& p) {
     candidate best;
+    search searched(p);
+    const auto consider = [&](candidate c) {
+        c.gain = gain_of(p, c, searched.changed);
+        if (c.gain > best.gain) {
+            best = c;
+        }
+    };
     const bool store_available = store_allows_load(p);
-    const std::vector<std::size_t> by_spare_capacity = engines_by_spare_capacity(p);
-    for (const auto& [model, size] : p.f.models) {
-        const bool wanted = copies_of(p, model) == 0 ? presence_value(p, model) > 0
-                                                     : utilization_from(p, model) > p.s.busy_share;
-        if (!wanted) {
+    const std::vector<engine_index> by_spare_capacity = engines_by_spare_capacity(p);
+    for (model_index model = 0; model < p.models.size(); ++model) {
+        const planned_model& m = p.models[model];
+        const bool wanted =
+            m.copies == 0 ? presence_value(m) > 0 : utilization_from(m) > p.s.busy_share;
+        if (!m.declared || !wanted) {
             continue;
         }
         // Loading from the store takes longer than waiting for the pending order of an engine whose
         // host has the weights.
-        const bool wait_for_local_weights =
-            copies_of(p, model) == 0 && fits_with_local_weights(p, model);
-        const bool missing = is_missing(p, model);
+        const bool wait_for_local_weights = m.copies == 0 && fits_with_local_weights(p, model);
+        const bool missing = is_missing(m);
         std::size_t considered = 0;
-        for (const std::size_t i : by_spare_capacity) {
-            const bool from_store = !p.f.engines[i].local_weights.contains(model);
-            if (p.held[i].contains(model) ||
-                (from_store && (wait_for_local_weights || !store_available))) {
+        for (const engine_index i : by_spare_capacity) {
+            const planned_engine& e = p.engines[i];
+            const bool from_store = !e.has_weights[model];
+            if (e.holds[model] || (from_store && (wait_for_local_weights || !store_available))) {
                 continue;
             }
             if (++considered > max_engines_considered) {
                 break;
             }
-            const double needed = size.weights_mb - free_memory_mb(p, i);
+            const double needed = m.profile.weights_mb - e.free_memory_mb;
             if (needed <= 0) {
-                consider(p, {i, model, {}, 0, from_store}, best);
+                consider({i, model, {}, from_store});
                 continue;
             }
-            for (auto& victims : victim_sets(p, i, needed, missing)) {
-                consider(p, {i, model, std::move(victims), 0, from_store}, best);
-            }
+            for_each_victim_set(p, searched.movable(i, missing), needed,
+                                [&](const victim_set& victims) {
+                                    consider({i, model, victims, from_store});
+                                });
         }
     }
     return best;
 }
 
 void apply(plan_state& p, const candidate& c) {
-    std::map<std::size_t, double> changed;
-    for (const std::string& victim : c.victims) {
-        (void)redistribute(p, victim, copies_of(p, victim) - 1, c.engine, false, changed);
+    utilization_changes changed(p.engines.size());
+    for (const model_index victim : c.victims) {
+        (void)redistribute(p, victim, p.models[victim].copies - 1, c.engine, false, changed);
         note_unload(p, c.engine, victim);
     }
-    (void)redistribute(p, c.model, copies_of(p, c.model) + 1, c.engine, true, changed);
+    (void)redistribute(p, c.model, p.models[c.model].copies + 1, c.engine, true, changed);
     note_load(p, c.engine, c.model, c.from_store);
-    for (const auto& [engine, utilization] : changed) {
-        p.utilization[engine] = utilization;
+    for (engine_index i = 0; i < p.engines.size(); ++i) {
+        p.engines[i].utilization = changed.get(i, p.engines[i].utilization);
     }
 }
 
@@ -284,20 +351,28 @@
     }
     while (moves.size() - begun < max_moves_per_round) {
         const candidate best = best_candidate(p);
+        if (best.gain <= 0) {
+            break;
+        }
         // First copies of models are exempt from the limit on pending orders: without one, requests
         // cannot be served at all.
-        const bool urgent = copies_of(p, best.model) == 0;
-        if (best.gain <= 0 || (!urgent && pending + moves.size() - begun >= max_orders)) {
+        const planned_model& model = p.models[best.model];
+        const bool urgent = model.copies == 0;
+        if (!urgent && pending + moves.size() - begun >= max_orders) {
             break;
         }
         const std::string& engine = f.engines[best.engine].id;
-        const std::string reason = "for " + best.model + ", gain " + std::to_string(best.gain);
-        if (best.victims.empty()) {
-            moves.push_back({engine, move_kind::load, best.model, best.from_store, reason});
+        const std::string name(model.name);
+        const std::string reason = "for " + name + ", gain " + std::to_string(best.gain);
+        if (best.victims.size == 0) {
+            moves.push_back({engine, move_kind::load, name, best.from_store, reason});
         } else {
-            const reserved_load next{
-                best.model, {best.victims.begin() + 1, best.victims.end()}, now};
-            moves.push_back({engine, move_kind::unload, best.victims.front(), false, reason, next});
+            reserved_load next{name, {}, now};
+            std::for_each(best.victims.begin() + 1, best.victims.end(), [&](model_index later) {
+                next.unloads.emplace_back(p.models[later].name);
+            });
+            const std::string first(p.models[*best.victims.begin()].name);
+            moves.push_back({engine, move_kind::unload, first, false, reason, next});
         }
         apply(p, best);
     }
--- a/libs/placement/tests/test_absent_models.cpp
+++ b/libs/placement/tests/test_absent_models.cpp
@@ -348,8 +348,9 @@
     CHECK(planned.lost < naive.lost / 2);
 }
 
-// Pattern: demand moves at full size, so that each round has many candidates.
-TEST_CASE("a planning round for 180 engines and 312 models fits its interval on 0.32 of a core") {
+// Pattern: demand moves at full size, so that each round has many candidates. Guards against a
+// leader whose loop is held by each round of its planner, so that it loses its leadership.
+TEST_CASE("a planning round for 180 engines and 312 models takes 4.3% of a core") {
     simulated_site site(cemetery, 1);
     constexpr int rounds_before = 40;
     for (int i = 0; i < rounds_before; ++i) {
@@ -367,6 +368,6 @@
     const double ms = 1000.0 * static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC / rounds;
     MESSAGE("a round takes " << ms << " ms of processor time");
 #ifndef __SANITIZE_ADDRESS__
-    CHECK(ms < 1000 * to_seconds(round_interval) * 0.32);
+    CHECK(ms < 1000 * to_seconds(round_interval) * 0.043);
 #endif
 }
