Control: the planner's view of the site in a file of its own, with tests

What engines announce and gateways report had no test of how it reaches the planner; the new ones pass with the look-ups of before, too.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -1,13 +1,13 @@
-// The leader's planner: derives demand from the gateways' reports, chooses loads and unloads
-// with libs/placement, and sends them as orders to sidecars.
+// The leader's planner: chooses loads and unloads with libs/placement, and sends them as orders to
+// sidecars.
 #include <algorithm>
 #include <cmath>
 
-#include "dispatch/roles.h"
 #include "placement/moves.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "service_fleets.h"
 #include "site.h"
 
 namespace burdockdeck::control {
@@ -26,32 +26,9 @@
 // Allows for a new leader that connects to all sidecars at once on a small share of a core.
 constexpr duration sidecar_connect_timeout = std::chrono::milliseconds(800);
 constexpr duration order_timeout = std::chrono::milliseconds(1500);
-// Reports older than this are ignored.
-constexpr duration report_max_age = std::chrono::seconds(3);
 // An engine that has not announced itself for this many intervals counts as not accepting
 // requests.
 constexpr int max_missed_announcements = 4;
-// Weight of a new report in the smoothed demand: higher when demand rises than when it falls.
-constexpr double rising_smoothing_weight = 0.35;
-constexpr double falling_smoothing_weight = 0.06;
-// Prompt tokens that an engine reads per millisecond, assumed until a model's speed is measured.
-constexpr double default_tokens_per_ms = 38;
-// Assumed share of prompt tokens that is not in an engine's cache.
-constexpr double uncached_share = 0.5;
-// Cost of one output token, in prompt tokens.
-constexpr double output_token_cost = 4;
-// Until demand has been reported for this long, each existing copy of a model counts as
-// `prior_per_copy` engines of demand.
-constexpr duration prior_duration = std::chrono::seconds(4);
-constexpr double prior_per_copy = 0.18;
-// Factor by which earlier requests count less in each round.
-constexpr double request_cost_decay = 0.9;
-// Processing time of a request before any has been reported.
-constexpr double default_request_ms = 80;
-// An engine that takes hardly any requests still holds models that others may lack.
-constexpr double min_capacity = 0.02;
-// Demand below this number of engines counts as zero.
-constexpr double min_demand = 0.003;
 
 std::uint64_t version_in_force(const instance& i) {
     return i.raft->state().deployment().version();
@@ -70,200 +47,6 @@
     }
 }
 
-// Memory for weights at one engine. The rest is reserved: adapters may fill it at any time.
-double weights_capacity_of(const deployment::engine_spec& spec) {
-    double largest = 0;
-    for (const deployment::model_spec& m : spec.models) {
-        largest = std::max(largest, m.adapters > 0 ? m.adapter_mb : 0);
-    }
-    return spec.weights_mb - largest * spec.max_adapters;
-}
-
-placement::engine_state engine_of(const registry::upstream_entry& e,
-                                  const deployment::engine_spec& spec, bool announcing) {
-    const schema::upstream_announcement& a = e.latest;
-    placement::engine_state out;
-    out.id = a.id();
-    out.address = a.address();
-    out.born_ms = a.born_ms();
-    out.failure_domain = a.failure_domain();
-    out.accepting = announcing && a.state() == schema::announced_ready;
-    out.weights_capacity_mb = weights_capacity_of(spec);
-    for (const schema::present_model& m : a.models()) {
-        out.models.insert(m.name());
-    }
-    out.local_weights.insert(a.in_memory().begin(), a.in_memory().end());
-    out.local_weights.insert(a.on_disk().begin(), a.on_disk().end());
-    out.memory_weights.insert(a.in_memory().begin(), a.in_memory().end());
-    return out;
-}
-
-void decay(request_costs& c) {
-    c.engine_ms *= request_cost_decay;
-    c.requests *= request_cost_decay;
-}
-
-// Share of an engine's usual rate of requests that an upstream takes, by the limit that it states.
-double capacity_of(const site_state& site, const placement::engine_state& e,
-                   const request_costs& costs) {
-    const auto stated = site.permits.limits.find({e.id, e.born_ms});
-    if (stated == site.permits.limits.end() || stated->second.per_second <= 0) {
-        return 1;
-    }
-    const double request_ms =
-        costs.requests > 0 ? costs.engine_ms / costs.requests : default_request_ms;
-    return std::clamp(stated->second.per_second * request_ms / 1000, min_capacity, 1.0);
-}
-
-void limit_capacities(const site_state& site, placement::fleet_state& f,
-                      const request_costs& costs) {
-    for (placement::engine_state& e : f.engines) {
-        e.capacity = capacity_of(site, e, costs);
-    }
-}
-
-void update_demand(site_state& site, time_point now) {
-    std::map<demand_key, double> offered;
-    decay(site.short_prompt_costs);
-    decay(site.long_prompt_costs);
-    std::set<demand_key> unplaced;
-    for (const auto& [gateway, record] : site.demand) {
-        if (now - record.received_at > report_max_age) {
-            continue;
-        }
-        const double window = std::max<double>(1, record.latest.window_ms());
-        for (const rpc::model_load& load : record.latest.models()) {
-            const demand_key key{load.model(), load.long_prompts()};
-            if (load.tokens_per_ms() > 0) {
-                double& known = site.speeds[load.model()];
-                known = std::max(known, load.tokens_per_ms());
-            }
-            const auto measured = site.speeds.find(load.model());
-            const double speed =
-                measured == site.speeds.end() ? default_tokens_per_ms : measured->second;
-            const double ms = (uncached_share * static_cast<double>(load.prompt_tokens()) +
-                               output_token_cost * static_cast<double>(load.output_tokens())) /
-                              speed;
-            offered[key] += ms / window;
-            request_costs& costs =
-                load.long_prompts() ? site.long_prompt_costs : site.short_prompt_costs;
-            costs.engine_ms += ms;
-            costs.requests += load.arrivals();
-            if (load.unplaced() > 0) {
-                unplaced.insert(key);
-            }
-        }
-    }
-    if (!offered.empty() && site.demand_since == time_point{}) {
-        site.demand_since = now;
-    }
-    for (const auto& [key, share] : offered) {
-        // The first report is taken without smoothing.
-        site.smoothed_demand.try_emplace(key, share);
-    }
-    for (auto& [key, share] : site.smoothed_demand) {
-        const auto found = offered.find(key);
-        const double reported = found == offered.end() ? 0 : found->second;
-        share += (reported > share ? rising_smoothing_weight : falling_smoothing_weight) *
-                 (reported - share);
-    }
-    site.unplaced = std::move(unplaced);
-}
-
-// The engines of one service. If `divided`, engines for short and for long prompts are planned as
-// two separate fleets.
-struct service_fleets {
-    placement::fleet_state all;
-    placement::fleet_state short_prompt_fleet;
-    placement::fleet_state long_prompt_fleet;
-    bool divided = false;
-};
-
-bool is_loaded_in(const placement::fleet_state& f, const std::string& model) {
-    return std::any_of(f.engines.begin(), f.engines.end(),
-                       [&](const auto& e) { return e.accepting && e.models.contains(model); });
-}
-
-// Number of engines that hold the model. For an engine that holds none, as after a loss of power,
-// the copies in its host's memory and on its disk count instead: they show which models were in
-// demand.
-std::size_t count_copies(const placement::fleet_state& f, const std::string& model) {
-    return static_cast<std::size_t>(
-        std::count_if(f.engines.begin(), f.engines.end(), [&](const auto& e) {
-            return (e.models.empty() ? e.local_weights : e.models).contains(model);
-        }));
-}
-
-placement::model_demand demand_for(const instance& i, const placement::fleet_state& f,
-                                   const std::string& model, bool long_prompts, time_point now) {
-    placement::model_demand d;
-    const demand_key key{model, long_prompts};
-    const auto found = i.site->smoothed_demand.find(key);
-    const bool known = found != i.site->smoothed_demand.end();
-    d.engines = known && found->second >= min_demand ? found->second : 0;
-    if (i.site->demand_since == time_point{} || now - i.site->demand_since < prior_duration) {
-        // Without enough reports, the number of existing copies is the best estimate of demand.
-        d.engines =
-            std::max(d.engines, prior_per_copy * static_cast<double>(count_copies(f, model)));
-    }
-    d.unplaced = i.site->unplaced.contains(key);
-    // Long prompts are expected for every model, short ones only for models that have received
-    // short ones before.
-    d.expected = long_prompts || known;
-    return d;
-}
-
-void add_demand(const instance& i, service_fleets& f, const std::string& model, time_point now) {
-    placement::model_demand short_prompt_demand =
-        demand_for(i, f.short_prompt_fleet, model, false, now);
-    placement::model_demand long_prompt_demand =
-        demand_for(i, f.long_prompt_fleet, model, true, now);
-    placement::model_demand& both = f.all.demand[model];
-    both.engines = short_prompt_demand.engines + long_prompt_demand.engines;
-    both.unplaced = short_prompt_demand.unplaced || long_prompt_demand.unplaced;
-    short_prompt_demand.held_elsewhere = is_loaded_in(f.long_prompt_fleet, model);
-    long_prompt_demand.held_elsewhere = is_loaded_in(f.short_prompt_fleet, model);
-    f.short_prompt_fleet.demand[model] = short_prompt_demand;
-    f.long_prompt_fleet.demand[model] = long_prompt_demand;
-}
-
-service_fleets fleets_of(const instance& i, const deployment::service_spec& service,
-                         time_point now) {
-    service_fleets f;
-    const duration max_silence = i.settings.site->announce_interval * max_missed_announcements;
-    std::vector<dispatch::engine_location> locations;
-    for (const auto& [id, e] : i.site->upstreams.upstreams) {
-        if (e.latest.service() == service.name && e.latest.state() != schema::announced_gone) {
-            f.all.engines.push_back(engine_of(e, service.engine, now - e.last_seen < max_silence));
-            if (e.latest.state() == schema::announced_ready) {
-                locations.push_back({e.latest.address(), e.latest.failure_domain()});
-            }
-        }
-    }
-    const std::set<std::string> short_prompt_addresses =
-        dispatch::short_prompt_engines(locations, {});
-    f.divided = !short_prompt_addresses.empty();
-    for (const placement::engine_state& e : f.all.engines) {
-        (short_prompt_addresses.contains(e.address) ? f.short_prompt_fleet : f.long_prompt_fleet)
-            .engines.push_back(e);
-    }
-    const request_costs& short_costs = i.site->short_prompt_costs;
-    const request_costs& long_costs = i.site->long_prompt_costs;
-    limit_capacities(
-        *i.site, f.all,
-        {short_costs.engine_ms + long_costs.engine_ms, short_costs.requests + long_costs.requests});
-    limit_capacities(*i.site, f.short_prompt_fleet, short_costs);
-    limit_capacities(*i.site, f.long_prompt_fleet, long_costs);
-    for (const deployment::model_spec& m : service.engine.models) {
-        for (placement::fleet_state* fleet :
-             {&f.all, &f.short_prompt_fleet, &f.long_prompt_fleet}) {
-            fleet->models[m.name] = {m.weights_mb, m.store_load, m.disk_load, m.memory_load};
-        }
-        add_demand(i, f, m.name, now);
-    }
-    return f;
-}
-
 placement::move_settings settings_for(const instance& i, const deployment::engine_spec& spec) {
     placement::move_settings s;
     set_store_rate(s, spec.store_loads_per_s, i.settings.site->store_window);
@@ -371,7 +154,8 @@
 // Plans for one service, and returns when its models without a copy are expected to be loaded.
 std::map<std::string, time_point> plan_service(instance& i, const deployment::service_spec& service,
                                                time_point now) {
-    const service_fleets f = fleets_of(i, service, now);
+    const duration max_silence = i.settings.site->announce_interval * max_missed_announcements;
+    const service_fleets f = fleets_of(*i.site, service, max_silence, now);
     const placement::move_settings s = settings_for(i, service.engine);
     placement::reconcile_orders(i.site->moves, f.all, s, now);
     if (f.divided) {
