Control: updates to all gateways take a bounded share of the loop

Cause: each change of an upstream, each notice of an unload and each crash began an update to all watchers at once, however many came in series: its cost is changes times watchers, on the loop that runs elections.

When 45 engines crash, 28 updates to all 105 gateways begin within 497 ms, 2,835 messages that hold the leader's loop for 200 ms of them; in the ten spans in which it lagged by 100 ms or more, updates took 25 to 200 ms, next to the planner's round. Ruled out: single updates (3 ms at most).

Change: after an update to all watchers, the next one waits nine times as long as that one took, at most 200 ms; what changes meanwhile goes out together. The time is measured, so that few gateways wait for some milliseconds and many on a busy instance for 200. The first change after a pause goes out at once, as before. Acknowledgements to upstreams that leave do not wait for it: members are told at once, and 200 ms are a tenth of the time within which no request may reach them any more.

--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -196,6 +196,16 @@
     }
 }
 
+void send_heartbeats(instance& i) {
+    const time_point began_at = runtime::boot_now();
+    for (auto& [w, watch] : i.site->watchers) {
+        if (w->ready()) {
+            send_update(i, w, watch);
+        }
+    }
+    record_update(i.site->pacing, began_at, runtime::boot_now());
+}
+
 boost::asio::awaitable<void> run_maintenance(instance& i) {
     time_point heartbeat_at{};
     while (!i.stopping) {
@@ -210,11 +220,7 @@
         }
         if (now >= heartbeat_at) {
             heartbeat_at = now + watch_heartbeat;
-            for (auto& [w, watch] : i.site->watchers) {
-                if (w->ready()) {
-                    send_update(i, w, watch);
-                }
-            }
+            send_heartbeats(i);
         }
         const time_point due = runtime::boot_now() + maintenance_interval;
         co_await runtime::sleep_for(maintenance_interval);
@@ -254,6 +260,27 @@
            watch.sent_crashes < i.site->urgent_crashes;
 }
 
+void send_urgent_news(instance& i) {
+    const time_point began_at = runtime::boot_now();
+    for (auto& [w, watch] : i.site->watchers) {
+        if (lacks_urgent_news(i, *w, watch) && w->ready()) {
+            send_update(i, w, watch);
+        }
+    }
+    record_update(i.site->pacing, began_at, runtime::boot_now());
+}
+
+// The heartbeat may postpone the next update while this waits.
+boost::asio::awaitable<void> send_urgent_news_later(instance& i) {
+    duration wait = wait_before_update(i.site->pacing, runtime::boot_now());
+    while (wait > duration::zero()) {
+        co_await runtime::sleep_for(wait);
+        wait = wait_before_update(i.site->pacing, runtime::boot_now());
+    }
+    i.site->pacing.scheduled = false;
+    send_urgent_news(i);
+}
+
 }  // namespace
 
 void start_site(instance& i) {
@@ -333,14 +360,22 @@
 
 void update_site_watchers(instance& i) {
     record_deployment(i.site->history, i.raft->state().deployment());
-    for (auto& [w, watch] : i.site->watchers) {
-        if (lacks_urgent_news(i, *w, watch) && w->ready()) {
-            send_update(i, w, watch);
-        }
+    update_pacing& pacing = i.site->pacing;
+    if (pacing.scheduled) {
+        return;
+    }
+    if (wait_before_update(pacing, runtime::boot_now()) > duration::zero()) {
+        pacing.scheduled = true;
+        runtime::spawn(i.loop, [&i] { return send_urgent_news_later(i); });
+        return;
     }
+    send_urgent_news(i);
 }
 
 void update_site_watcher(instance& i, const std::shared_ptr<site_watcher>& w) {
+    if (i.site->pacing.scheduled) {
+        return;
+    }
     const auto found = i.site->watchers.find(w);
     if (found != i.site->watchers.end() && lacks_urgent_news(i, *w, found->second) && w->ready()) {
         send_update(i, w, found->second);
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -17,6 +17,7 @@
 #include "quarantine/quarantine.h"
 #include "ratelimit/permits.h"
 #include "registry/registry.h"
+#include "update_pacing.h"
 #include "watcher.h"
 
 namespace burdockdeck::control {
@@ -73,6 +74,7 @@
     std::uint64_t urgent_changes = 0;
     std::uint64_t urgent_crashes = 0;
     bool model_update_scheduled = false;
+    update_pacing pacing;
     // Other control instances, by address.
     std::map<std::string, peer_link> peers;
     std::vector<schema::upstream_announcement> to_relay;
@@ -131,7 +133,8 @@
 
 void open_site_watch(instance& i, std::shared_ptr<site_watcher> w,
                      const rpc::watch_site_request& request);
-// Sends an update to each watcher that lacks something urgent.
+// Sends an update to each watcher that lacks something urgent, now or after a pause that bounds the
+// share of the loop that updates take.
 void update_site_watchers(instance& i);
 void update_site_watcher(instance& i, const std::shared_ptr<site_watcher>& w);
 // Returns a patch to the deployment in force, from the text of `known_version` if it is kept here,
