Control: an operator's change waits for an election instead of being refused at once

Their tries are few, and they wait longer after each refusal.

Cause: a member without a leader, or whose leader did not answer, refused changes and reads in a millisecond, although an election takes less than the time that an operator waits for an answer. Several members know no leader at the same time, so that all tries of an operator could fall into one election.

Change: a call of an operator waits for a leader for 900 ms, the time that a forwarded call had before, and a change that the leader did not answer is forwarded again within it. A change may be repeated: a version that is in force already changes nothing. An instance that has known no leader for two election time-outs is probably cut off and refuses at once, as before.

--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -85,6 +85,15 @@
            consensus::is_up_to_date(*node_, now());
 }
 
+bool raft_host::knows_leader() const {
+    // A leader that has just been elected accepts no commands yet.
+    return is_leader() || (node_ && node_->leader != 0 && node_->leader != node_->id);
+}
+
+bool raft_host::expects_leader() const {
+    return now() - leader_known_at_ < 2 * settings_.election_max;
+}
+
 std::string raft_host::address_of(consensus::node_id id) const {
     const schema::configuration& members = consensus::members_of(*node_);
     for (const auto* group : {&members.voters(), &members.outgoing(), &members.learners()}) {
@@ -142,6 +151,7 @@
     const consensus::restored_state restored{found.hard, found.snapshot, found.entries};
     node_ = consensus::create(store_->identity().node_id(), store_->identity().cluster(),
                               timing_of(settings_), restored, now(), rng_);
+    leader_known_at_ = now();
     if (found.snapshot.index() > 0) {
         state_.ParseFromString(found.snapshot.state());
         applied_ = found.snapshot.index();
@@ -278,6 +288,26 @@
     }
 }
 
+void raft_host::when_leader_known(std::function<void()> done) {
+    if (knows_leader()) {
+        done();
+    } else if (!stopped_) {
+        leader_waiters_.push_back(std::move(done));
+    }
+}
+
+void raft_host::notify_leader_waiters() {
+    if (!knows_leader()) {
+        return;
+    }
+    leader_known_at_ = now();
+    std::vector<std::function<void()>> waiting;
+    waiting.swap(leader_waiters_);
+    for (const std::function<void()>& done : waiting) {
+        done();
+    }
+}
+
 void raft_host::read_barrier(read_callback done) {
     if (!node_ || stopped_ || storage_failed_) {
         done(false);
@@ -348,6 +378,7 @@
     *alive_ = false;
     timer_.cancel();
     storage_timer_.cancel();
+    leader_waiters_.clear();
     fail_pending_submits();
     fail_reads();
 }
@@ -395,6 +426,7 @@
         finish_reads(out);
     }
     check_role();
+    notify_leader_waiters();
     maybe_snapshot();
     arm_timer();
     if (state_.revision() != revision_before && on_table_changed) {
--- a/libs/control/src/raft_host.h
+++ b/libs/control/src/raft_host.h
@@ -46,6 +46,11 @@
     [[nodiscard]] bool isolated() const;
     // True if `state()` is known to include all entries committed up to 2 * `election_max` ago.
     [[nodiscard]] bool is_up_to_date() const;
+    // True if this instance leads, or knows another instance as the leader.
+    [[nodiscard]] bool knows_leader() const;
+    // True if a leader was known here, or the node was started, within the last two election
+    // timeouts. An instance without a leader for longer is probably cut off from the others.
+    [[nodiscard]] bool expects_leader() const;
     // Address of the leader; empty if no leader is known.
     [[nodiscard]] std::string leader_address() const;
     [[nodiscard]] std::string leader_name() const;
@@ -67,6 +72,8 @@
     // Calls `done` with true once all entries up to `index` are applied here, with false if this
     // instance stops or its disk fails first.
     void when_applied(std::uint64_t index, read_callback done);
+    // Calls `done` once a leader is known, at once if one is; never after `stop`.
+    void when_leader_known(std::function<void()> done);
     // The leader's part of a read barrier: confirms its leadership, then calls `done` with the
     // index to wait for.
     void confirm_index(std::function<void(bool, std::uint64_t)> done);
@@ -138,6 +145,7 @@
     void check_role();
     void finish_reads(const consensus::outputs& out);
     void fail_pending_submits();
+    void notify_leader_waiters();
     void maybe_snapshot();
     void arm_timer();
     [[nodiscard]] peer_link* link_to(consensus::node_id id);
@@ -166,6 +174,9 @@
     // Reads that wait for a confirmation of leadership, by context.
     std::map<std::uint64_t, std::function<void(bool, std::uint64_t)>> unconfirmed_reads_;
     std::vector<apply_waiter> apply_waiters_;
+    std::vector<std::function<void()>> leader_waiters_;
+    // The last round in which a leader was known, or the start of the node.
+    time_point leader_known_at_{};
     std::map<consensus::node_id, peer_link> links_;
     std::map<consensus::node_id, std::string> learned_addresses_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/libs/control/src/site_http.cpp
+++ b/libs/control/src/site_http.cpp
@@ -4,7 +4,10 @@
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <optional>
 #include <utility>
 
 #include "directory.h"
@@ -25,8 +28,11 @@
 
 constexpr std::size_t max_deployment_bytes = 16 * 1024 * 1024;
 constexpr duration idle_connection_timeout = std::chrono::seconds(20);
-// Shorter than the time-out of operators and upstreams, which is about a second.
-constexpr duration forward_timeout = std::chrono::milliseconds(900);
+// Longest time for which an operator's call waits for a leader and its answer: shorter than the
+// time-out of operators, which is about a second.
+constexpr duration leader_timeout = std::chrono::milliseconds(900);
+// Pause before a call that the leader did not answer is forwarded again.
+constexpr duration forward_retry_delay = std::chrono::milliseconds(50);
 // Longest wait until a forwarded change is applied here: several heartbeats of the log, and far
 // below the time-out of operators.
 constexpr duration local_apply_timeout = std::chrono::milliseconds(250);
@@ -59,37 +65,43 @@
     answer(false);
 }
 
-boost::asio::awaitable<void> submit_to_leader(instance& i, schema::command command,
-                                              answer_callback done) {
+// Waits until a leader is known here. Returns false if there is none at `give_up_at`, or if this
+// instance is probably cut off from the others, so that operators should try another one.
+boost::asio::awaitable<bool> wait_for_leader(instance& i, time_point give_up_at) {
+    const auto known = std::make_shared<boost::asio::steady_timer>(i.loop.context());
+    known->expires_after(give_up_at - runtime::boot_now());
+    while (!i.stopping && !i.raft->knows_leader() && i.raft->expects_leader() &&
+           runtime::boot_now() < give_up_at) {
+        i.raft->when_leader_known([known] { known->cancel(); });
+        boost::system::error_code ignored;
+        co_await known->async_wait(
+            boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+    co_return i.raft->knows_leader();
+}
+
+// The leader's answer to a forwarded change; empty if it did not answer.
+boost::asio::awaitable<std::optional<rpc::submit_reply>> forward_to_leader(instance& i,
+                                                                           schema::command command,
+                                                                           duration timeout) {
     const std::shared_ptr<rpc::control::Stub> leader = leader_stub(i);
     if (leader == nullptr) {
-        refuse(i, 503, "no leader is known to this instance", done);
-        co_return;
+        co_return std::nullopt;
     }
     const auto start = [&leader](auto... arguments) { leader->async()->submit(arguments...); };
     rpc::submit_request request;
     *request.mutable_command() = std::move(command);
     request.set_forwarded(true);
     auto answer = co_await runtime::call_unary<rpc::submit_reply>(
-        i.loop.context(), i.access, std::move(request), forward_timeout, start);
+        i.loop.context(), i.access, std::move(request), timeout, start);
     if (!succeeded(answer)) {
         i.leader_stubs.clear();
-        refuse(i, 503, "the leader did not answer", done);
-        co_return;
-    }
-    if (value(answer).status() != rpc::submit_reply::applied ||
-        value(answer).reply().status() != schema::status_done) {
-        refuse(i, 503, "the change is not confirmed as committed", done);
-        co_return;
+        co_return std::nullopt;
     }
-    co_await answer_once_applied(i, value(answer), done);
+    co_return std::move(value(answer));
 }
 
-void submit(instance& i, schema::command command, const answer_callback& done) {
-    if (!i.raft->is_leader()) {
-        runtime::spawn(i.loop, [&i, command, done] { return submit_to_leader(i, command, done); });
-        return;
-    }
+void submit_as_leader(instance& i, schema::command command, const answer_callback& done) {
     i.raft->submit(std::move(command), [&i, done](submit_outcome outcome, const auto& reply) {
         if (outcome == submit_outcome::applied && reply.status() == schema::status_done) {
             done(response_of(200, "{}"));
@@ -99,6 +111,46 @@
     });
 }
 
+// Has a change committed by the leader. While one is being elected the call waits: a refusal would
+// cost an operator one of its few tries. A change may be forwarded repeatedly, since a version that
+// is in force already changes nothing.
+boost::asio::awaitable<void> submit_to_leader(instance& i, schema::command command,
+                                              answer_callback done) {
+    const time_point give_up_at = runtime::boot_now() + leader_timeout;
+    std::string reason = "no leader is known to this instance";
+    while (co_await wait_for_leader(i, give_up_at)) {
+        if (i.raft->is_leader()) {
+            submit_as_leader(i, std::move(command), done);
+            co_return;
+        }
+        const duration timeout = give_up_at - runtime::boot_now();
+        if (timeout <= duration::zero()) {
+            break;
+        }
+        const std::optional<rpc::submit_reply> answer =
+            co_await forward_to_leader(i, command, timeout);
+        if (answer && answer->status() == rpc::submit_reply::applied) {
+            if (answer->reply().status() == schema::status_done) {
+                co_await answer_once_applied(i, *answer, done);
+            } else {
+                refuse(i, 503, "the change is not confirmed as committed", done);
+            }
+            co_return;
+        }
+        reason = answer ? "the change is not confirmed as committed" : "the leader did not answer";
+        co_await runtime::sleep_for(forward_retry_delay);
+    }
+    refuse(i, 503, reason, done);
+}
+
+void submit(instance& i, schema::command command, const answer_callback& done) {
+    if (i.raft->is_leader()) {
+        submit_as_leader(i, std::move(command), done);
+        return;
+    }
+    runtime::spawn(i.loop, [&i, command, done] { return submit_to_leader(i, command, done); });
+}
+
 void replace_deployment(instance& i, const std::string& body, const answer_callback& done) {
     const auto decoded = i.site->protocol.decode_deployment(body);
     if (!succeeded(decoded)) {
@@ -135,7 +187,7 @@
     });
 }
 
-void describe_deployment(instance& i, const answer_callback& done) {
+void answer_read(instance& i, const answer_callback& done) {
     i.raft->read_barrier([&i, done](bool confirmed) {
         const schema::deployment_record& d = i.raft->state().deployment();
         if (!confirmed || d.version() == 0) {
@@ -151,6 +203,17 @@
     });
 }
 
+void describe_deployment(instance& i, const answer_callback& done) {
+    if (i.raft->knows_leader()) {
+        answer_read(i, done);
+        return;
+    }
+    runtime::spawn(i.loop, [&i, done]() -> boost::asio::awaitable<void> {
+        (void)co_await wait_for_leader(i, runtime::boot_now() + leader_timeout);
+        answer_read(i, done);
+    });
+}
+
 void announce(instance& i, const std::string& id, const std::string& body,
               const answer_callback& done) {
     const auto decoded = i.site->protocol.decode_announcement(id, body);
