Control: a lagging loop names the task that held it

`loop_lagged` said by how much a control instance's timers were late, and by guess the planner was suspected. Tasks on the loop are now timed (planning, updates, announcements, consensus, storage, deployments, patches), each without those inside it, and the line names the one that took longest since the last check.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -7,6 +7,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "runtime/task_times.h"
 #include "service_fleets.h"
 #include "site.h"
 
@@ -38,6 +39,7 @@
     if (i.site->current.version == version_in_force(i)) {
         return;
     }
+    const runtime::timed_task timed("deployment");
     auto decoded = i.site->protocol.decode_deployment(i.raft->state().deployment().source());
     if (succeeded(decoded)) {
         i.site->current = std::move(value(decoded));
@@ -154,6 +156,7 @@
 // Plans for one service, and returns when its models without a copy are expected to be loaded.
 std::map<std::string, time_point> plan_service(instance& i, const deployment::service_spec& service,
                                                time_point now) {
+    const runtime::timed_task timed("planning");
     const duration max_silence = i.settings.site->announce_interval * max_missed_announcements;
     const service_fleets f = fleets_of(*i.site, service, max_silence, now);
     const placement::move_settings s = settings_for(i, service.engine);
--- a/libs/control/src/raft_host.cpp
+++ b/libs/control/src/raft_host.cpp
@@ -9,6 +9,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "runtime/task_times.h"
 #include "runtime/trace.h"
 
 namespace burdockdeck::control {
@@ -398,6 +399,7 @@
 }
 
 void raft_host::run_round() {
+    const runtime::timed_task timed("consensus");
     if (!node_ || storage_failed_) {
         return;
     }
--- a/libs/control/src/raft_storage.cpp
+++ b/libs/control/src/raft_storage.cpp
@@ -4,6 +4,7 @@
 #include "raft_host.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "runtime/task_times.h"
 
 namespace burdockdeck::control {
 
@@ -29,6 +30,7 @@
 }  // namespace
 
 bool raft_host::store_outputs(const consensus::outputs& out) {
+    const runtime::timed_task timed("storage");
     result<nothing, storage::storage_error> stored = nothing{};
     if (out.install) {
         schema::hard_state hard_state;
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -6,6 +6,7 @@
 #include "runtime/clock.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "runtime/task_times.h"
 #include "send_permits.h"
 
 namespace burdockdeck::control {
@@ -72,6 +73,7 @@
 }
 
 void send_update(instance& i, const std::shared_ptr<site_watcher>& w, gateway_watch& watch) {
+    const runtime::timed_task timed("update");
     rpc::site_update update = update_for(i, *w, watch);
     i.metrics.count("burdockdeck_site_updates_total");
     i.metrics.count("burdockdeck_site_update_bytes_total", "", update.ByteSizeLong());
@@ -188,11 +190,13 @@
 // Elections and heartbeats run on this loop: a leader whose loop lags for too long is replaced.
 void record_loop_lag(instance& i, duration lag) {
     i.metrics.observe("burdockdeck_loop_lag_seconds", lag);
+    const runtime::task_times times = runtime::take_task_times();
     if (lag > min_logged_lag) {
         log_event(severity::warning, event::loop_lagged,
                   {{"lag_ms", to_milliseconds(lag)},
                    {"leading", i.raft->is_leader() ? "yes" : "no"},
-                   {"watchers", static_cast<std::uint64_t>(i.site->watchers.size())}});
+                   {"watchers", static_cast<std::uint64_t>(i.site->watchers.size())},
+                   {"longest_task", runtime::describe_longest(times)}});
     }
 }
 
@@ -299,6 +303,7 @@
 }
 
 void merge_announcement(instance& i, const schema::upstream_announcement& a, bool relayed) {
+    const runtime::timed_task timed("announcement");
     const registry::merge_result merged =
         registry::merge(i.site->upstreams, a, runtime::boot_now());
     if (merged == registry::merge_result::outdated) {
@@ -404,6 +409,7 @@
 }
 
 rpc::fetch_deployment_reply answer_fetch(instance& i, std::uint64_t known_version) {
+    const runtime::timed_task timed("patch");
     record_deployment(i.site->history, i.raft->state().deployment());
     rpc::fetch_deployment_reply reply = patch_for(i.site->history, known_version);
     reply.set_up_to_date(i.raft->is_up_to_date());
--- a/libs/control/src/site_http.cpp
+++ b/libs/control/src/site_http.cpp
@@ -13,6 +13,7 @@
 #include "directory.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "runtime/task_times.h"
 #include "site.h"
 
 namespace burdockdeck::control {
@@ -152,6 +153,7 @@
 }
 
 void replace_deployment(instance& i, const std::string& body, const answer_callback& done) {
+    const runtime::timed_task timed("deployment");
     const auto decoded = i.site->protocol.decode_deployment(body);
     if (!succeeded(decoded)) {
         log_event(severity::warning, event::deployment_refused,
--- a/libs/runtime/tests/test_runtime.cpp
+++ b/libs/runtime/tests/test_runtime.cpp
@@ -13,6 +13,7 @@
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "runtime/metrics.h"
+#include "runtime/task_times.h"
 #include "runtime/trace.h"
 
 using namespace burdockdeck;
@@ -108,6 +109,22 @@
     CHECK(!parse_traceparent("00-0AF7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"));
 }
 
+TEST_CASE("the task that held a loop longest is named, without the tasks inside it") {
+    (void)take_task_times();
+    CHECK(describe_longest(take_task_times()).empty());
+    {
+        const timed_task outer("outer");
+        const timed_task inner("inner");
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    const task_times times = take_task_times();
+    REQUIRE(times.size() == 2);
+    CHECK(times.at("inner").elapsed >= std::chrono::milliseconds(20));
+    CHECK(times.at("outer").elapsed < times.at("inner").elapsed);
+    CHECK(describe_longest(times).starts_with("inner runs=1 sum_ms="));
+    CHECK(take_task_times().empty());
+}
+
 TEST_CASE("metrics are exported as Prometheus text") {
     metrics m;
     m.count("requests_total", "outcome=completed");
