Consensus: time in which a member did not run is not the silence of others

Cause: a timer that fires late on a busy machine is handled before the messages that arrived meanwhile. A leader then counted its own stall as the silence of its majority and stepped down; members counted theirs as the silence of the leader, began an election, and granted votes to others. When the machines of all members are busy together, as in a burst, a healthy leader was replaced.

Ruled out: pre-vote alone does not hold members back, since those that were stalled as well grant it.

Change: a node is called at least once a heartbeat while it runs. A gap of three or more is a stall, and the times from which the silence of others is counted move on by it, for elections only: what a node says of its state rests on echoed timestamps and reads on a quorum, as before. A leader that was stalled for two election time-outs has probably been replaced and steps down as before.

A second test shows that members which run for a third of the time still elect a successor of a dead leader within 8 s.

--- a/libs/consensus/include/consensus/node.h
+++ b/libs/consensus/include/consensus/node.h
@@ -109,6 +109,11 @@
     role current_role = role::follower;
     node_id leader = 0;
     time_point leader_contact_at{};
+    // The same, moved on by the time in which this node did not run: it has not listened then, so
+    // the leader has not been silent. Only elections depend on it.
+    time_point leader_silent_since{};
+    // The last call of `step` or `tick`. A node that runs is called at least once a heartbeat.
+    time_point active_at{};
     // Send time of this node's newest message that the current leader has echoed. A leader echoes
     // messages only while a majority confirms its leadership.
     std::optional<time_point> leader_confirmed_at;
@@ -178,7 +183,9 @@
 
 // Handles a message from another node. Ignores messages for another cluster or node id.
 void step(node& n, const schema::raft_message& m, time_point now, std::mt19937_64& rng);
-// Handles timeouts: starts elections, sends heartbeats, steps down without a majority.
+// Handles timeouts: starts elections, sends heartbeats, steps down without a majority. Time in
+// which neither `step` nor `tick` was called counts as silence of no other node, because the
+// messages of that time may still wait to be handled.
 void tick(node& n, time_point now, std::mt19937_64& rng);
 // Appends a command. Returns its index, which is valid if the entry commits in the current term.
 [[nodiscard]] result<log_index, not_leader> propose(node& n, std::string data);
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -60,7 +60,7 @@
     if (n.current_role == role::leader) {
         return true;
     }
-    return n.leader != 0 && now - n.leader_contact_at < n.times.election_min;
+    return n.leader != 0 && now - n.leader_silent_since < n.times.election_min;
 }
 
 }  // namespace
--- a/libs/consensus/src/node.cpp
+++ b/libs/consensus/src/node.cpp
@@ -1,6 +1,7 @@
 // Term handling, message dispatch, timeouts and outputs of a consensus node.
 #include "consensus/node.h"
 
+#include <algorithm>
 #include <cassert>
 
 #include "node_parts.h"
@@ -19,6 +20,27 @@
     n.reads.clear();
 }
 
+// A node that was not called for this many heartbeats was stalled: its machine was busy or its
+// process suspended.
+constexpr int stall_heartbeats = 3;
+
+// Moves the times from which the silence of others is counted on by a stall of this node.
+void excuse_stall(node& n, time_point now) {
+    const duration idle = now - n.active_at;
+    n.active_at = now;
+    if (idle < stall_heartbeats * n.times.heartbeat) {
+        return;
+    }
+    n.election_deadline += idle;
+    n.leader_silent_since = std::min(now, n.leader_silent_since + idle);
+    // The others have probably elected another leader during a longer stall.
+    if (idle < 2 * n.times.election_max) {
+        for (auto& [id, peer] : n.peers) {
+            peer.last_heard = std::min(now, peer.last_heard + idle);
+        }
+    }
+}
+
 bool heard_from_majority(const node& n, time_point now) {
     return quorum(members_of(n), [&](node_id id) {
         if (id == n.id) {
@@ -137,6 +159,7 @@
     n.cluster = std::move(cluster);
     n.times = times;
     n.clock_offset = rng();
+    n.active_at = now;
     n.term = restored.hard_state.term();
     n.voted_for = restored.hard_state.voted_for();
     n.latest_snapshot = restored.snapshot;
@@ -206,13 +229,16 @@
 }
 
 time_point next_wakeup(const node& n) {
-    return n.current_role == role::leader ? n.heartbeat_due : n.election_deadline;
+    const time_point next_timeout =
+        n.current_role == role::leader ? n.heartbeat_due : n.election_deadline;
+    return std::min(next_timeout, n.active_at + n.times.heartbeat);
 }
 
 void step(node& n, const raft_message& m, time_point now, std::mt19937_64& rng) {
     if (m.to() != n.id || m.cluster() != n.cluster) {
         return;
     }
+    excuse_stall(n, now);
     if (m.term() > n.term && raises_term(m)) {
         become_follower(n, m.term(), is_from_leader(m) ? m.from() : 0, now, rng);
     }
@@ -225,6 +251,7 @@
             become_follower(n, m.term(), m.from(), now, rng);
         }
         n.leader_contact_at = now;
+        n.leader_silent_since = now;
         record_leader_confirmation(n, m, now);
         reset_election_deadline(n, now, rng);
     }
@@ -258,6 +285,7 @@
 }
 
 void tick(node& n, time_point now, std::mt19937_64& rng) {
+    excuse_stall(n, now);
     if (n.current_role == role::leader) {
         tick_leader(n, now, rng);
         return;
--- a/libs/consensus/tests/simulated_cluster.h
+++ b/libs/consensus/tests/simulated_cluster.h
@@ -113,6 +113,14 @@
         }
     }
 
+    // Ends a stall of a node whose timers run before it reads the messages that wait for it.
+    void resume_with_timers_first(node_id id) {
+        nodes[id].frozen = false;
+        tick(*nodes[id].node_state, now, rng);
+        process_outputs(id);
+        thaw(id);
+    }
+
     // Advances virtual time by one millisecond.
     void run_one() {
         now += milliseconds(1);
--- a/libs/consensus/tests/test_node.cpp
+++ b/libs/consensus/tests/test_node.cpp
@@ -175,6 +175,57 @@
     CHECK(c.nodes[leader].node_state->term == term);
 }
 
+// Guards against needless elections on busy machines: a leader counted its own stall as the silence
+// of its majority, and members counted theirs as the silence of the leader.
+TEST_CASE("a stall of all machines at once ends no leadership") {
+    for (unsigned seed = 1; seed <= 50; ++seed) {
+        cluster c(5, seed);
+        REQUIRE(c.run_until_leader(settle_time));
+        c.run_for(milliseconds(500));
+        const node_id leader = *c.leader();
+        const term_number term = c.nodes[leader].node_state->term;
+        for (auto& [id, m] : c.nodes) {
+            m.frozen = true;
+        }
+        c.run_for(milliseconds(200 + 20 * seed));
+        for (auto& [id, m] : c.nodes) {
+            c.resume_with_timers_first(id);
+        }
+        c.run_for(milliseconds(1000));
+        CHECK(c.leader() == leader);
+        CHECK(c.nodes[leader].node_state->term == term);
+        CHECK(c.violations == 0);
+    }
+}
+
+// Guards against members that wait forever for a dead leader because they are stalled again and
+// again.
+TEST_CASE("members that run for a third of the time elect a new leader") {
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        cluster c(5, seed);
+        REQUIRE(c.run_until_leader(settle_time));
+        c.run_for(milliseconds(500));
+        const node_id leader = *c.leader();
+        c.crash(leader);
+        milliseconds waited{0};
+        while (!c.leader() && waited < milliseconds(8000)) {
+            for (auto& [id, m] : c.nodes) {
+                m.frozen = m.node_state.has_value();
+            }
+            c.run_for(milliseconds(400));
+            for (auto& [id, m] : c.nodes) {
+                if (m.node_state) {
+                    c.resume_with_timers_first(id);
+                }
+            }
+            c.run_for(milliseconds(200));
+            waited += milliseconds(600);
+        }
+        CHECK(c.leader().has_value());
+        CHECK(c.violations == 0);
+    }
+}
+
 TEST_CASE("a node that lost its disk neither votes nor counts towards a quorum") {
     cluster c(3, 3);
     REQUIRE(c.run_until_leader(settle_time));
