Gateways: the limit on held answers counts buffers, and freed ones return to the system

What callers saw: none seen to lose work; a gateway that upstreams flood with answers without end used more memory than its settings state, and is ended by its platform if that is enforced.

Cause, two parts: the limit counted the bytes in buffers, which grow by doubling, and a stream kept the buffer of its longest event; and glibc raises its threshold for separate mappings with each large block that is freed, so that long answers left a fragmented heap.

Ruled out: read buffers of connections (the entry of KNOWN-RED suspected them): nothing of them was changed.

--- a/libs/gateway/src/answer_memory.h
+++ b/libs/gateway/src/answer_memory.h
@@ -29,7 +29,8 @@
     answer_hold(const answer_hold&) = delete;
     answer_hold& operator=(const answer_hold&) = delete;
 
-    // Sets the number of bytes held. While the limit is exceeded, the largest answers are dropped.
+    // Sets the number of bytes held, which is the capacity of the buffers and not what they
+    // contain. While the limit is exceeded, the largest answers are dropped.
     void resize(std::size_t bytes);
     // True once this answer was dropped.
     [[nodiscard]] bool dropped() const;
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -193,7 +193,7 @@
         std::string bytes;
         status = co_await e->read(bytes, left);
         std::string events = extract_events(splitter, bytes);
-        hold.resize(splitter.pending.size() + events.size());
+        hold.resize(splitter.pending.capacity() + events.capacity());
         if (hold.dropped()) {
             r.last_failure = dropped_reason;
             record_ending(r, cut_cause::answer_invalid, r.last_failure, runtime::boot_now());
@@ -269,7 +269,7 @@
             e->abort();
             co_return attempt_end::finished;
         }
-        hold.resize(splitter.pending.size());
+        hold.resize(splitter.pending.capacity());
         ++r.events_forwarded;
         r.last_progress_at = runtime::boot_now();
         r.awaits_upstream = true;
@@ -316,7 +316,7 @@
         }
         status = co_await e->read(answer.body, left);
         r.last_progress_at = runtime::boot_now();
-        hold.resize(answer.body.size());
+        hold.resize(answer.body.capacity());
         if (hold.dropped()) {
             status = body_status::broken;
         }
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -10,6 +10,8 @@
 constexpr std::string_view id_field = "id:";
 // Length of the longest end of an event, "\\r\\n\\r\\n".
 constexpr std::size_t max_event_end = 4;
+// Memory beyond twice the pending bytes that is kept for the next events.
+constexpr std::size_t max_spare_bytes = 16 * 1024;
 
 std::optional<std::uint64_t> id_of(std::string_view event) {
     while (!event.empty()) {
@@ -84,6 +86,9 @@
     }
     std::string events = s.pending.substr(0, complete_bytes);
     s.pending.erase(0, complete_bytes);
+    if (s.pending.capacity() > max_spare_bytes + 2 * s.pending.size()) {
+        s.pending.shrink_to_fit();
+    }
     return events;
 }
 
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -2,6 +2,8 @@
 // graceful stop.
 #include "gateway/server.h"
 
+#include <malloc.h>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -32,6 +34,9 @@
 namespace {
 
 constexpr duration maintenance_interval = std::chrono::milliseconds(125);
+// Buffers of this size are returned to the system when they are freed. Without a fixed threshold
+// glibc raises it to the largest buffer freed so far, and long answers leave a fragmented heap.
+constexpr int min_returned_bytes = 128 * 1024;
 constexpr int maintenance_runs_per_report = 4;
 // Time until the platform sends no new connections: it checks readiness once a second and removes a
 // gateway after two failed checks.
@@ -340,6 +345,7 @@
     if (!succeeded(access)) {
         return gateway_error{to_text(error(access))};
     }
+    ::mallopt(M_MMAP_THRESHOLD, min_returned_bytes);
     auto s = std::make_unique<state>(settings, std::move(protocol), value(access));
     core& c = s->gateway_core;
     auto acceptor = open_acceptor(c.traffic.context(), settings.listen);
--- a/libs/gateway/tests/test_answer_memory.cpp
+++ b/libs/gateway/tests/test_answer_memory.cpp
@@ -102,3 +102,16 @@
     (void)extract_events(s, "id: 3\n\n");
     CHECK(s.bytes_without_data == 0);
 }
+
+// Guards against streams that keep the memory of their longest event until they end.
+TEST_CASE("a splitter releases the memory of a long event") {
+    event_splitter s;
+    const std::string piece(16 * kib, 'x');
+    (void)extract_events(s, "data: ");
+    for (int i = 0; i < 40; ++i) {
+        CHECK(extract_events(s, piece).empty());
+    }
+    CHECK(extract_events(s, "\n\ndata: y").size() == 6 + 640 * kib + 2);
+    CHECK(s.pending == "data: y");
+    CHECK(s.pending.capacity() <= min_dropped_bytes);
+}
