Gateways: an answer without length whose connection has failed is not complete

An upstream had answered a long upload at once, without a length, and reset the connection while the upload was still being written.

Cause: the kernel reports an error of a connection to one call only. The write of the upload, or the look for unread bytes that a takeover takes, met the reset; the read after it returned 0, and the parser took that for the end of an answer that ends with its connection. Class: an end that is believed although an error was met before.

Evidence: a small program (Linux 6.18, arm64): after a reset a write, a `recv` with MSG_PEEK or a read of SO_ERROR gets the error, the next read 0; TCP_INFO still tells a reset (closed) from an orderly end (close wait).

Ruled out: the parser alone, since the same answers are broken off when the read itself meets the reset; chunks and lengths, whose ends are in the answer.

Fix: a connection keeps the first error that a call met, whichever call it was, and an answer without length is complete only on a connection that has none and that the kernel has not closed by itself. Answers with a length or in chunks are judged by these as before, so that an early refusal still reaches its caller. Pools and takeovers look through the same function.

--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -39,14 +39,6 @@
                static_cast<unsigned>(to_milliseconds(timeout)));
 }
 
-// True if the peer has neither closed the connection nor sent unexpected bytes.
-bool still_open(upstream_connection& c) {
-    char byte = 0;
-    const ssize_t got =
-        ::recv(c.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 bool expired(const upstream_connection& c, time_point now) {
     return now - c.idle_since > c.keep_alive - std::min(close_margin, c.keep_alive / 2);
 }
@@ -57,6 +49,41 @@
     return now - c.idle_since <= c.keep_alive / 2;
 }
 
+bool has_failed(upstream_connection& c) {
+    if (c.error) {
+        return true;
+    }
+    // After an orderly end the kernel waits for this side to close. It has closed a connection that
+    // was reset or timed out itself, also if no call has met the error.
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(c.stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) ==
+               0 &&
+           info.tcpi_state == TCP_CLOSE;
+}
+
+arrival peek(upstream_connection& c) {
+    char byte = 0;
+    const ssize_t got =
+        ::recv(c.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return arrival::bytes;
+    }
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        return arrival::nothing;
+    }
+    if (got < 0) {
+        record_error(c, {errno, boost::system::system_category()});
+    }
+    return arrival::end;
+}
+
+void record_error(upstream_connection& c, const boost::system::error_code& e) {
+    if (!c.error) {
+        c.error = e;
+    }
+}
+
 connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now) {
     while (!pool.idle.empty()) {
         connection_ptr c = pool.idle.back();
@@ -64,7 +91,7 @@
             return nullptr;
         }
         pool.idle.pop_back();
-        if (!expired(*c, now) && still_open(*c)) {
+        if (!expired(*c, now) && peek(*c) == arrival::nothing) {
             return c;
         }
     }
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/system/error_code.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -31,6 +32,9 @@
     time_point idle_since{};
     // How long the upstream keeps the connection open while it is idle.
     duration keep_alive{};
+    // The first error that a call met. The kernel reports an error of a connection to one call
+    // only, and a read after that one looks like an orderly end.
+    boost::system::error_code error;
 };
 
 using connection_ptr = std::shared_ptr<upstream_connection>;
@@ -49,8 +53,19 @@
 // use only such connections, since the upstream may be closing others.
 [[nodiscard]] bool recently_used(const upstream_connection& c, time_point now);
 
+// True if the connection has failed, so that its end does not complete an answer.
+[[nodiscard]] bool has_failed(upstream_connection& c);
+
 // --- Commands
 
+// What has arrived on a connection and was not read.
+enum class arrival { nothing, bytes, end };
+
+// Looks without reading. An error counts as an end, and is recorded.
+[[nodiscard]] arrival peek(upstream_connection& c);
+// Records an error that a call on the connection returned.
+void record_error(upstream_connection& c, const boost::system::error_code& e);
+
 // An idle connection that is still open; null if there is none. With `recent_only`, only one that
 // was recently used.
 [[nodiscard]] connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now);
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -1,8 +1,6 @@
 // Writes requests and reads answers with Beast's parsers, with limits on time and memory.
 #include "exchange.h"
 
-#include <sys/socket.h>
-
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
@@ -137,6 +135,7 @@
     c_->stream.expires_at(until);
     const auto [failed, sent] = co_await asio::async_write(c_->stream, parts, as_result);
     if (failed) {
+        record_error(*c_, failed);
         set_failure("write", failed);
     }
     co_return !failed;
@@ -260,6 +259,11 @@
         set_failure("read body", failed);
         co_return body_status::broken;
     }
+    if (parser_->is_done() && parser_->need_eof() && has_failed(*c_)) {
+        set_failure("read body: the answer states no length and its connection failed",
+                    c_->error ? c_->error : asio::error::connection_reset);
+        co_return body_status::broken;
+    }
     co_return parser_->is_done() ? body_status::complete : body_status::more;
 }
 
@@ -268,9 +272,8 @@
     set_cause(end_cause::upstream_closed);
 }
 
-bool exchange::has_unread_bytes() const {
-    char byte = 0;
-    return ::recv(c_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+bool exchange::has_unread_bytes() {
+    return peek(*c_) == arrival::bytes;
 }
 
 std::string exchange::unacknowledged() const {
--- a/libs/gateway/src/exchange.h
+++ b/libs/gateway/src/exchange.h
@@ -87,7 +87,7 @@
     void mark_truncated();
 
     // True if bytes of the answer have arrived that were not read yet.
-    [[nodiscard]] bool has_unread_bytes() const;
+    [[nodiscard]] bool has_unread_bytes();
     // Bytes of the request that the upstream has not acknowledged, or "unknown"; for logs.
     [[nodiscard]] std::string unacknowledged() const;
     // Lets the connection last through `silence` of the upstream's kernel.
--- a/libs/gateway/tests/faulty_upstream.h
+++ b/libs/gateway/tests/faulty_upstream.h
@@ -38,6 +38,8 @@
     // Written this long after `bytes`.
     std::string late_bytes = "";
     std::chrono::milliseconds late_after{0};
+    // Answers the head of the request and reads nothing of its body.
+    bool early = false;
 };
 
 struct received_request {
@@ -55,6 +57,8 @@
         for (std::size_t i = 0; i < count; ++i) {
             acceptors_.emplace_back(context_,
                                     tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+            // Connections inherit it: an upstream that does not read soon blocks its caller.
+            acceptors_.back().set_option(asio::socket_base::receive_buffer_size(16 * 1024));
             asio::co_spawn(context_, accept(acceptors_.back(), i), asio::detached);
         }
         thread_ = std::thread([this] { context_.run(); });
@@ -86,6 +90,12 @@
         }
     }
 
+    // Whether the next answer does not wait for the body of its request.
+    [[nodiscard]] bool answers_early() const {
+        const std::lock_guard lock(mutex_);
+        return received_.size() < answers_.size() && answers_[received_.size()].early;
+    }
+
     static std::string header_in(const std::string& head, const std::string& name) {
         const std::size_t at = head.find("\r\n" + name + ": ");
         if (at == std::string::npos) {
@@ -108,14 +118,15 @@
             const std::size_t size = co_await asio::async_read_until(
                 socket, asio::dynamic_buffer(buffer), "\r\n\r\n", asio::use_awaitable);
             const std::string head = buffer.substr(0, size);
-            const std::string length = header_in(head, "Content-Length");
+            const bool early = answers_early();
+            const std::string length = early ? "" : header_in(head, "Content-Length");
             const std::size_t total = size + (length.empty() ? 0 : std::stoul(length));
             if (buffer.size() < total) {
                 co_await asio::async_read(socket, asio::dynamic_buffer(buffer),
                                           asio::transfer_exactly(total - buffer.size()),
                                           asio::use_awaitable);
             }
-            buffer.erase(0, total);
+            buffer.erase(0, early ? buffer.size() : total);
             std::size_t number = 0;
             {
                 const std::lock_guard lock(mutex_);
@@ -213,6 +224,7 @@
         r.services = {{"orders", 1}};
         deployment::site s;
         s.version = 1;
+        s.limits.body_bytes = 64 * 1024 * 1024;
         s.routes.push_back(r);
         s.services.emplace_back();
         s.services.back().name = "orders";
@@ -250,8 +262,8 @@
     }
 
     // Everything that a caller receives for a request with this id, until the connection is closed.
-    std::string call(const std::string& id) {
-        tcp::socket caller = begin_call(id);
+    std::string call(const std::string& id, const std::string& body = "body") {
+        tcp::socket caller = begin_call(id, body);
         std::string all;
         boost::system::error_code ended;
         asio::read(caller, asio::dynamic_buffer(all), ended);
