Answers: one place says what the head of an answer is, for gateways and for calls of sidecars and agents

Cause: a head was whatever the parser took for one. It takes any three digits for a status, reads a coding that it does not know as none, joins a continued line with the field before it, takes chunks in HTTP/1.0 and a change of protocol. Names with a blank or a control byte were refused, but only since the parser happens to. Class: the meaning of bytes left to a parser that was written to be lenient.

Evidence: on 13 of the 19 heads of `an answer whose head is none is not forwarded` reach the caller, 3 of 4 pass the HTTP client of sidecars and agents, and a 204 with the type of an event stream gets chunks.

Ruled out: a wrong use of the parser's settings; it has none for these.

Fix: `runtime::read_answer_head` reads a whole head and checks it line by line before it is parsed: the status line, names that are tokens, values without control bytes, no continued line, one length or the coding `chunked` or neither, no chunks in HTTP/1.0, no body with 1xx and 204, no 101. What fails is no answer: the outcome is unknown, 502 or another attempt where that is allowed. Its text is logged as the reason. The gateway's exchange and `runtime::http_client` both use it.

--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -34,6 +34,7 @@
 // A stream that sends more than this between two events with data, such as comments or empty lines,
 // is treated as broken.
 constexpr std::size_t max_bytes_without_data = 64 * 1024;
+constexpr unsigned no_content = 204;
 constexpr unsigned first_server_error = 500;
 // An engine's prompt speed cannot be measured precisely enough with shorter prompts.
 constexpr std::uint32_t min_sample_tokens = 1000;
@@ -125,8 +126,10 @@
                {"left_ms", to_milliseconds(time_left(r, now))}});
 }
 
+// An answer that has no body by its status is no stream, whatever its type says.
 bool is_stream(const exchange& e) {
-    return find_header(e.headers(), "Content-Type").substr(0, 17) == "text/event-stream";
+    return e.status() != no_content &&
+           find_header(e.headers(), "Content-Type").substr(0, 17) == "text/event-stream";
 }
 
 void record_event_time(request_state& r, time_point now) {
--- a/libs/gateway/src/exchange.cpp
+++ b/libs/gateway/src/exchange.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include "runtime/answer_head.h"
 #include "runtime/log.h"
 
 namespace burdockdeck::gateway {
@@ -162,8 +163,17 @@
         parser_->header_limit(max_answer_header_bytes);
         parser_->skip(r.method == "HEAD");
         c_->stream.expires_at(until);
-        const auto [failed, size] =
-            co_await http::async_read_header(c_->stream, c_->buffer, *parser_, as_result);
+        const runtime::head_read head =
+            co_await runtime::read_answer_head(c_->stream, c_->buffer, max_answer_header_bytes);
+        if (!head.failed && !head.fault.empty()) {
+            failure_ = "received no answer: " + head.fault;
+            set_cause(end_cause::bad_answer);
+            co_return false;
+        }
+        boost::system::error_code failed = head.failed;
+        if (!failed) {
+            c_->buffer.consume(parser_->put(asio::buffer(c_->buffer.data(), head.size), failed));
+        }
         if (failed) {
             set_failure("read head", failed);
             co_return false;
--- a/libs/gateway/tests/test_faulty_answers.cpp
+++ b/libs/gateway/tests/test_faulty_answers.cpp
@@ -345,3 +345,53 @@
         CHECK(g.call("first").starts_with("HTTP/1.1 200"));
     }
 }
+
+// Guards against the reports of an answer with status 000 that its caller got, of fields with a
+// blank or a control byte in their names, and of bodies that were framed wrongly.
+TEST_CASE("an answer whose head is none is not forwarded") {
+    const std::string fields = "Id: $ID\r\nSignature: s\r\n";
+    const std::string good = "HTTP/1.1 200 OK\r\n" + fields;
+    const std::vector<std::string> answers{
+        "HTTP/1.1 000 None\r\n" + fields + "Content-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 099 None\r\n" + fields + "Content-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 600 None\r\n" + fields + "Content-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 999 None\r\n" + fields + "Content-Length: 4\r\n\r\ndone",
+        good + "X A: b\r\nContent-Length: 4\r\n\r\ndone",
+        good + "X-A : b\r\nContent-Length: 4\r\n\r\ndone",
+        good + "X\x01: b\r\nContent-Length: 4\r\n\r\ndone",
+        good + "X-A: b\r\n Content-Length: 5\r\n\r\ndone!",
+        good + "X-A: b\x1b\r\nContent-Length: 4\r\n\r\ndone",
+        good + "Content-Length: 4\r\nContent-Length: 4\r\n\r\ndone",
+        good + "Content-Length: 4, 4\r\n\r\ndone",
+        good + "Content-Length: 4\r\n" + chunked + "\r\n" + chunk_of("done") + last_chunk,
+        good + "Transfer-Encoding: chunked, identity\r\n\r\n" + chunk_of("done") + last_chunk,
+        good + "Transfer-Encoding: identity\r\n\r\ndone",
+        good + "Transfer-Encoding: gzip\r\n\r\ndone",
+        "HTTP/1.0 200 OK\r\n" + fields + chunked + "\r\n" + chunk_of("done") + last_chunk,
+        "HTTP/1.1 101 Switching Protocols\r\n" + fields + "\r\n" + good +
+            "Content-Length: 4\r\n\r\ndone",
+        "HTTP/1.1 204 No Content\r\n" + fields + chunked + "\r\n" + chunk_of("done") + last_chunk,
+        "HTTP/1.1 200 OK\n" + fields + "Content-Length: 4\r\n\r\ndone",
+    };
+    for (const std::string& bytes : answers) {
+        const scripted_upstreams upstreams(1, {{bytes, ending::close}});
+        gateway_under_test g(upstreams.ports(), repeatability::non_idempotent);
+        const std::string answer = g.call("r1");
+        INFO(bytes);
+        CHECK_MESSAGE(status_of(answer) == 502, answer);
+        CHECK(answer.find("done") == std::string::npos);
+    }
+}
+
+// Guards against chunks after a head that announces no body.
+TEST_CASE("an answer without content is no stream") {
+    const std::string bytes =
+        "HTTP/1.1 204 No Content\r\nId: $ID\r\nSignature: s\r\nContent-Type: "
+        "text/event-stream\r\n\r\n";
+    const scripted_upstreams upstreams(1, {{bytes}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    const std::string answer = g.call("r1");
+    CHECK_MESSAGE(status_of(answer) == 204, answer);
+    CHECK(answer.find("chunked") == std::string::npos);
+    CHECK(answer.ends_with("\r\n\r\n"));
+}
--- a/libs/runtime/src/http_client.cpp
+++ b/libs/runtime/src/http_client.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 
 #include "http_common.h"
+#include "runtime/answer_head.h"
 
 namespace burdockdeck::runtime {
 
@@ -16,6 +17,7 @@
 // aborted.
 constexpr std::size_t max_fetched_bytes = 16 * 1024 * 1024;
 constexpr std::size_t max_unparsed_bytes = 128 * 1024;
+constexpr std::size_t max_head_bytes = 8 * 1024;
 constexpr std::size_t read_chunk_bytes = 16 * 1024;
 
 using stream_ptr = std::unique_ptr<beast::tcp_stream>;
@@ -99,10 +101,14 @@
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
     set_timeout(*stream);
-    const auto [head_failed, head_size] =
-        co_await http::async_read_header(*stream, buffer, parser, as_result);
-    if (head_failed) {
-        co_return http_error{false, "read from " + to_text(s->to) + ": " + head_failed.message()};
+    const head_read head = co_await read_answer_head(*stream, buffer, max_head_bytes);
+    boost::system::error_code head_failed = head.failed;
+    if (!head_failed && head.fault.empty()) {
+        buffer.consume(parser.put(asio::buffer(buffer.data(), head.size), head_failed));
+    }
+    if (head_failed || !head.fault.empty()) {
+        co_return http_error{false, "read from " + to_text(s->to) + ": " +
+                                        (head_failed ? head_failed.message() : head.fault)};
     }
     if (reader.on_head) {
         reader.on_head(parser.get().result_int(), headers_of(parser.get()));
--- a/libs/runtime/tests/test_http_client.cpp
+++ b/libs/runtime/tests/test_http_client.cpp
@@ -173,3 +173,16 @@
         }
     }
 }
+
+// Guards against bodies that are framed wrongly, and other texts that are no answer.
+TEST_CASE("an answer whose head is none is an error") {
+    for (const std::string& head :
+         {std::string("HTTP/1.1 000 None\r\nContent-Length: 4\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, identity\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nX-A: b\r\n Content-Length: 9\r\n\r\n"),
+          std::string("HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 4\r\n\r\n")}) {
+        INFO(head);
+        const raw_server server({{head + "done", ending::close}});
+        CHECK(!succeeded(fetch_all(server, 1)[0]));
+    }
+}
