--- a/libs/catalog/include/catalog/catalog.h
+++ b/libs/catalog/include/catalog/catalog.h
@@ -13,6 +13,8 @@
 // Maximum number of records kept each of operations, labels and proofs; the oldest are dropped
 // first.
 inline constexpr int max_kept_records = 4096;
+// Maximum number of software versions kept for one service.
+inline constexpr int max_software_versions = 16;
 // Larger answers to keyed work are stored without their body and marked as truncated.
 inline constexpr std::size_t max_stored_answer_bytes = 64 * 1024;
 
--- a/libs/catalog/src/catalog.cpp
+++ b/libs/catalog/src/catalog.cpp
@@ -336,6 +336,28 @@
     return done(s);
 }
 
+command_reply apply_software_version(catalog_state& s, const schema::software_version_command& c) {
+    auto& versions = *(*s.mutable_software())[c.service()].mutable_versions();
+    const auto found = std::find(versions.begin(), versions.end(), c.version());
+    const bool listed = found != versions.end();
+    if (listed == c.remove()) {
+        if (listed) {
+            versions.erase(found);
+        } else if (versions.size() >= max_software_versions) {
+            return refused("service `" + c.service() + "` has " + std::to_string(versions.size()) +
+                           " software versions already");
+        } else {
+            *versions.Add() = c.version();
+        }
+        s.set_software_revision(s.software_revision() + 1);
+        s.set_revision(s.revision() + 1);
+    }
+    if (versions.empty()) {
+        s.mutable_software()->erase(c.service());
+    }
+    return done(s);
+}
+
 command_reply dispatch(catalog_state& s, const schema::command& c, mutation injected) {
     switch (c.body_case()) {
         case schema::command::kTrial:
@@ -364,6 +386,8 @@
             return apply_permit(s, c.permit());
         case schema::command::kReplaceDeployment:
             return apply_replace_deployment(s, c.replace_deployment());
+        case schema::command::kSoftwareVersion:
+            return apply_software_version(s, c.software_version());
         default:
             return refused("this version does not know the command");
     }
--- a/libs/control/src/control_service.cpp
+++ b/libs/control/src/control_service.cpp
@@ -179,6 +179,17 @@
         });
     }
 
+    grpc::ServerUnaryReactor* read_software(grpc::CallbackServerContext* context,
+                                            const rpc::read_software_request*,
+                                            rpc::read_software_reply* reply) override {
+        return on_loop(instance_, context, [this, reply](auto* reactor) {
+            control::read_software(instance_, [reply, reactor](rpc::read_software_reply answer) {
+                *reply = std::move(answer);
+                reactor->Finish(grpc::Status::OK);
+            });
+        });
+    }
+
     grpc::ServerUnaryReactor* report_demand(grpc::CallbackServerContext* context,
                                             const rpc::demand_report* request,
                                             rpc::acknowledgement*) override {
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -31,6 +31,9 @@
 constexpr duration model_batch_delay = std::chrono::milliseconds(100);
 // Several gateways report one crash at about the same time; their news goes on in one update.
 constexpr duration crash_batch_delay = std::chrono::milliseconds(15);
+// Announced versions are added to the list of software versions at once; this interval is for
+// versions that were announced to another leader, and for removals.
+constexpr duration software_review_interval = std::chrono::seconds(1);
 // Upstreams that have left stay in the registry for this long, so that their late announcements are
 // recognised as outdated.
 constexpr duration departed_retention = std::chrono::seconds(60);
@@ -68,6 +71,10 @@
         *update.mutable_crash_news() = news;
     }
     watch.sent_crashes = i.site->crashes.revision;
+    if (watch.sent_software != i.raft->state().software_revision()) {
+        watch.sent_software = i.raft->state().software_revision();
+        *update.mutable_software() = software_of(i.raft->state());
+    }
     update.set_gateways(static_cast<std::uint32_t>(i.site->watchers.size()));
     return update;
 }
@@ -212,6 +219,7 @@
 
 boost::asio::awaitable<void> run_maintenance(instance& i) {
     time_point heartbeat_at{};
+    time_point software_review_at{};
     while (!i.stopping) {
         const time_point now = runtime::boot_now();
         i.metrics.set("burdockdeck_control_up_to_date", i.raft->is_up_to_date() ? 1 : 0);
@@ -219,6 +227,10 @@
         quarantine::expire(i.site->crashes, now);
         expire_limits(i, now);
         resync_lost_peers(i, now);
+        if (now >= software_review_at) {
+            software_review_at = now + software_review_interval;
+            maintain_software(i, now);
+        }
         if (i.raft->is_leader()) {
             repair_members(i);
         }
@@ -261,7 +273,8 @@
 bool lacks_urgent_news(const instance& i, const site_watcher& w, const gateway_watch& watch) {
     return watch.sent_version < i.raft->state().deployment().version() ||
            w.known() < i.site->urgent_changes || !watch.placement_sent ||
-           watch.sent_crashes < i.site->urgent_crashes;
+           watch.sent_crashes < i.site->urgent_crashes ||
+           watch.sent_software != i.raft->state().software_revision();
 }
 
 void send_urgent_news(instance& i) {
@@ -320,6 +333,7 @@
                    {"state", a.state()},
                    {"models", a.models_size()}});
         send_changes(i, merged);
+        add_software(i, a);
     }
     if (relayed) {
         return;
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -17,6 +18,7 @@
 #include "quarantine/quarantine.h"
 #include "ratelimit/permits.h"
 #include "registry/registry.h"
+#include "software.h"
 #include "update_pacing.h"
 #include "watcher.h"
 
@@ -33,6 +35,9 @@
     bool placement_sent = true;
     // The revision of `site_state::crashes` in the last update sent.
     std::uint64_t sent_crashes = 0;
+    // The revision of the list of software versions in the last update sent; empty before the
+    // first.
+    std::optional<std::uint64_t> sent_software;
 };
 
 // Demand is recorded per model, separately for long and short prompts.
@@ -83,6 +88,7 @@
     quarantine::table crashes;
     bool crash_update_scheduled = false;
     // Used while this instance leads.
+    software_review software;
     ratelimit::ledger permits;
     // The latest report of each gateway, by name.
     std::map<std::string, demand_record> demand;
--- a/libs/dispatch/include/dispatch/choice.h
+++ b/libs/dispatch/include/dispatch/choice.h
@@ -49,6 +49,7 @@
     not_accepting,
     leaving,
     leaves_too_soon,
+    other_software,
     model_absent,
     adapter_blocked,
     paused,
@@ -57,11 +58,12 @@
     tried
 };
 
-inline constexpr name_table<obstacle, 10> obstacle_names{{
+inline constexpr name_table<obstacle, 11> obstacle_names{{
     {obstacle::none, "none"},
     {obstacle::not_accepting, "not_accepting"},
     {obstacle::leaving, "leaving"},
     {obstacle::leaves_too_soon, "leaves_too_soon"},
+    {obstacle::other_software, "other_software"},
     {obstacle::model_absent, "model_absent"},
     {obstacle::adapter_blocked, "adapter_blocked"},
     {obstacle::paused, "paused"},
@@ -76,6 +78,8 @@
     std::string_view failure_domain;
     // Ids of the upstreams that this request was already sent to.
     const std::vector<std::string>* tried = nullptr;
+    // Software versions of the upstreams that may serve the request; null if any version may.
+    const software_set* software = nullptr;
     // Model copies (upstream, model) about to be unloaded; used only if no other copy is eligible.
     const std::set<std::pair<std::string, std::string>>* unloading = nullptr;
     // Prompt tokens of the request's model that an engine reads per millisecond.
--- a/libs/dispatch/include/dispatch/upstream.h
+++ b/libs/dispatch/include/dispatch/upstream.h
@@ -48,6 +48,9 @@
     std::map<std::string, time_point> adapters;
 };
 
+// Software versions of upstreams.
+using software_set = std::set<std::string, std::less<>>;
+
 enum class engine_role { any, short_prompts, long_prompts };
 
 // Identifies one start of an upstream.
@@ -55,6 +58,7 @@
     std::string id;
     std::string address;
     std::uint64_t born_ms = 0;
+    std::string software_version = {};
 };
 
 // Smoothed recent outcomes. `errors` is a share in [0, 1]; `slowness` is the observed time divided
@@ -86,10 +90,14 @@
     std::string address;
     std::string service;
     std::string failure_domain;
+    // Of its software, not of its weights.
+    std::string software_version;
     std::uint64_t born_ms = 0;
     std::uint32_t slots = 1;
     // False once the upstream drains or has left; it then gets no new work.
     bool accepting = true;
+    // When it ceased to accept; the zero time if it has not.
+    time_point withdrawn_at{};
     // True once one of its answers or its engine's reports said that it leaves; it then gets no new
     // requests. Ends with the incarnation.
     bool leaving = false;
--- a/libs/dispatch/src/absence.cpp
+++ b/libs/dispatch/src/absence.cpp
@@ -30,6 +30,7 @@
             case obstacle::not_accepting:
             case obstacle::leaving:
             case obstacle::leaves_too_soon:
+            case obstacle::other_software:
                 break;
             case obstacle::model_absent:
                 any_absent = true;
--- a/libs/dispatch/src/choice.cpp
+++ b/libs/dispatch/src/choice.cpp
@@ -113,6 +113,9 @@
     if (u.leaves_at != time_point::max() && u.leaves_at - now < departure_margin) {
         return obstacle::leaves_too_soon;
     }
+    if (r.software != nullptr && !r.software->contains(u.software_version)) {
+        return obstacle::other_software;
+    }
     if (!r.needs->model.empty() && u.models.find(r.needs->model) == u.models.end()) {
         return obstacle::model_absent;
     }
--- a/libs/dispatch/src/upstream.cpp
+++ b/libs/dispatch/src/upstream.cpp
@@ -45,7 +45,7 @@
 }  // namespace
 
 incarnation incarnation_of(const upstream& u) {
-    return {u.id, u.address, u.born_ms};
+    return {u.id, u.address, u.born_ms, u.software_version};
 }
 
 bool is_incarnation(const upstream& u, const incarnation& i) {
--- a/libs/dispatch/tests/test_choice.cpp
+++ b/libs/dispatch/tests/test_choice.cpp
@@ -77,6 +77,37 @@
     CHECK_FALSE(choose(all, view(w, &tried), {}, now, f.rng));
 }
 
+// Guards against streams joined from two software versions.
+TEST_CASE("an upstream of another software version is never chosen") {
+    fleet f(4);
+    for (upstream& u : f.all) {
+        u.software_version = "v1";
+    }
+    f.all[2].software_version = "v2";
+    f.all[3].software_version = "v2";
+    f.all[3].health.ejected_until = now + std::chrono::seconds(1);
+    const work w = generation(5);
+    const software_set allowed{"v2"};
+    request_view v = view(w);
+    v.software = &allowed;
+    CHECK(obstacle_to(f.all[0], v, now) == obstacle::other_software);
+    const auto all = f.pointers();
+    for (int i = 0; i < 50; ++i) {
+        const auto chosen = choose(all, v, {}, now, f.rng);
+        REQUIRE(chosen);
+        CHECK(chosen->to->id == "u2");
+    }
+    f.all[2].accepting = false;
+    const auto fallback = choose(all, v, {}, now, f.rng);
+    REQUIRE(fallback);
+    CHECK(fallback->to->id == "u3");
+    f.all[3].accepting = false;
+    CHECK_FALSE(choose(all, v, {}, now, f.rng));
+    // Any version serves a request that is bound to none.
+    v.software = nullptr;
+    CHECK(choose(all, v, {}, now, f.rng));
+}
+
 // Guards against leaving upstreams taken as a fallback where all others are ejected.
 TEST_CASE("a leaving upstream is never chosen") {
     fleet f(3);
--- a/libs/gateway/include/gateway/protocol.h
+++ b/libs/gateway/include/gateway/protocol.h
@@ -32,6 +32,9 @@
     dispatch::work needs;
     // The last event that the caller received, if it resumes a stream; empty otherwise.
     std::optional<std::uint64_t> last_event_id;
+    // If it resumes a stream: the id of the attempt that brought the first event; empty if it does
+    // not say so.
+    std::string resumes;
 };
 
 // Values from the status and headers of an upstream's answer.
--- a/libs/gateway/src/answer_cut.cpp
+++ b/libs/gateway/src/answer_cut.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include "core.h"
+#include "quarantine.h"
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
@@ -91,6 +92,27 @@
                {"last_failure", r.last_failure}});
 }
 
+void log_failed_attempt(const request_state& r, const std::string& upstream,
+                        std::string_view status) {
+    const time_point now = runtime::boot_now();
+    log_event(severity::info, event::attempt_failed,
+              {{"request", r.facts.id},
+               {"upstream", upstream},
+               {"sends", static_cast<std::uint64_t>(r.tried.size())},
+               {"status", status},
+               {"reason", r.last_failure},
+               {"cause", name_in(cut_cause_names, r.ending.cause)},
+               {"begun", r.head_sent ? "yes" : "no"},
+               {"event_arrived", r.attempt_began_at != time_point{} ? "yes" : "no"},
+               {"written_ms", to_milliseconds(written_time(r))},
+               {"age_ms", to_milliseconds(now - r.request.arrived)},
+               {"sent_ms_ago", to_milliseconds(now - r.sent_at)},
+               {"silence_ms", to_milliseconds(r.ending.silence)},
+               {"born_ms", r.sent_to_born_ms},
+               {"shared_parts", to_text(quarantine::shared_parts(r.facts.needs))},
+               {"left_ms", to_milliseconds(time_left(r, now))}});
+}
+
 void log_open_requests(core& c, time_point now) {
     for (const std::weak_ptr<request_state>& weak_request : c.open_requests) {
         if (const std::shared_ptr<request_state> r = weak_request.lock()) {
--- a/libs/gateway/src/answer_cut.h
+++ b/libs/gateway/src/answer_cut.h
@@ -74,6 +74,9 @@
 // caller's connection, if there was one.
 void log_answer_cut(core& c, const request_state& r, const attempt_ending& how,
                     const std::string& caller_failure, time_point now);
+// Logs an attempt at the upstream `upstream` that served no complete answer.
+void log_failed_attempt(const request_state& r, const std::string& upstream,
+                        std::string_view status);
 // Logs each request that is still open when the process exits.
 void log_open_requests(core& c, time_point now);
 
--- a/libs/gateway/src/attempt.cpp
+++ b/libs/gateway/src/attempt.cpp
@@ -9,6 +9,7 @@
 #include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/log.h"
+#include "stream_origin.h"
 #include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
@@ -105,27 +106,6 @@
     }
 }
 
-void log_failed_attempt(const request_state& r, const std::string& upstream,
-                        std::string_view status) {
-    const time_point now = runtime::boot_now();
-    log_event(severity::info, event::attempt_failed,
-              {{"request", r.facts.id},
-               {"upstream", upstream},
-               {"sends", static_cast<std::uint64_t>(r.tried.size())},
-               {"status", status},
-               {"reason", r.last_failure},
-               {"cause", name_in(cut_cause_names, r.ending.cause)},
-               {"begun", r.head_sent ? "yes" : "no"},
-               {"event_arrived", r.attempt_began_at != time_point{} ? "yes" : "no"},
-               {"written_ms", to_milliseconds(written_time(r))},
-               {"age_ms", to_milliseconds(now - r.request.arrived)},
-               {"sent_ms_ago", to_milliseconds(now - r.sent_at)},
-               {"silence_ms", to_milliseconds(r.ending.silence)},
-               {"born_ms", r.sent_to_born_ms},
-               {"shared_parts", to_text(quarantine::shared_parts(r.facts.needs))},
-               {"left_ms", to_milliseconds(time_left(r, now))}});
-}
-
 // An answer that has no body by its status is no stream, whatever its type says.
 bool is_stream(const exchange& e) {
     return e.status() != no_content &&
@@ -185,6 +165,7 @@
     }
     answer_hold hold(c.answers_held, drop_action(caller, r, e));
     bool first = true;
+    bool other_software = false;
     body_status status = body_status::more;
     while (status == body_status::more) {
         const duration left = time_left(r, runtime::boot_now());
@@ -238,6 +219,12 @@
         if (events.empty()) {
             continue;
         }
+        if (first && is_bound_to_version(r) &&
+            !bind_if_sound(c, r, guard.find(), runtime::boot_now())) {
+            other_software = true;
+            status = body_status::broken;
+            break;
+        }
         withdraw_successor(r);
         // While the caller is slow to read, the upstream is not silent.
         r.awaits_upstream = false;
@@ -300,7 +287,7 @@
     }
     const bool quarantined = is_ended_by_quarantine(c, r, *e);
     e->abort();
-    if (!quarantined) {
+    if (!quarantined && !other_software) {
         count_outcome(guard, attempt_outcome::failed);
     }
     co_return attempt_end::unknown;
@@ -422,20 +409,24 @@
                                runtime::boot_now());
 }
 
-asio::awaitable<connection_ptr> acquire_connection(core& c, const request_state& r, std::string id,
-                                                   std::string address, std::string& failure) {
+asio::awaitable<connection_ptr> acquire_connection(core& c, const request_state& r,
+                                                   dispatch::incarnation target,
+                                                   std::string& failure) {
     const bool recent_only = !r.repeatable;
-    if (connection_ptr kept = take_idle(c.pools[id], recent_only, runtime::boot_now())) {
+    if (connection_ptr kept =
+            take_idle(c.pools[target.id], target.born_ms, recent_only, runtime::boot_now())) {
         co_return kept;
     }
     c.metrics.count("burdockdeck_upstream_connections_total");
-    const settings::endpoint to = settings::parse_endpoint(address).value_or(settings::endpoint{});
+    const settings::endpoint to =
+        settings::parse_endpoint(target.address).value_or(settings::endpoint{});
     const duration timeout = std::min(connect_timeout, time_left(r, runtime::boot_now()));
     auto connected = co_await connect(c.traffic.context(), to, timeout);
     if (!succeeded(connected)) {
         failure = error(connected).message;
         co_return nullptr;
     }
+    value(connected)->born_ms = target.born_ms;
     co_return value(connected);
 }
 
@@ -472,13 +463,15 @@
     r.attempt_began_at = {};
     r.attempt_progress_at = {};
     r.sent_to_born_ms = prepared != nullptr ? prepared->target.born_ms : target.born_ms;
+    r.sent_to_software =
+        prepared != nullptr ? prepared->target.software_version : target.software_version;
     r.sent_at = runtime::boot_now();
     std::shared_ptr<exchange> e;
     if (prepared != nullptr) {
         e = prepared->sent_on;
     } else {
         std::string failure;
-        connection_ptr connection = co_await acquire_connection(c, r, id, target.address, failure);
+        connection_ptr connection = co_await acquire_connection(c, r, target, failure);
         if (connection == nullptr) {
             r.last_failure = "connect: " + failure;
             count_outcome(guard, attempt_outcome::unreachable);
@@ -506,8 +499,14 @@
             return_unused(c.pools[id], connection);
             co_return attempt_end::not_run;
         }
-        if (const dispatch::upstream* u = guard.find()) {
-            r.sent_to_born_ms = u->born_ms;
+        const dispatch::upstream* current = guard.find();
+        if (current == nullptr || !dispatch::is_incarnation(*current, target) ||
+            !may_stream_from(c, r, target.software_version)) {
+            // The upstream has started again, or control's list of versions has changed.
+            return_unused(c.pools[id], connection);
+            r.last_failure = "the upstream or its software has changed";
+            log_failed_attempt(r, id, "not_sent");
+            co_return attempt_end::not_run;
         }
         record_send_to(c, r, id);
         e = std::make_shared<exchange>(connection, c.protocol, notice_observer(c, target));
--- a/libs/gateway/src/beacon_listener.cpp
+++ b/libs/gateway/src/beacon_listener.cpp
@@ -11,6 +11,7 @@
 #include "quarantine.h"
 #include "runtime/clock.h"
 #include "runtime/http.h"
+#include "stream_origin.h"
 #include "upstream_notices.h"
 
 namespace burdockdeck::gateway {
@@ -84,6 +85,9 @@
         return "open the socket for beacons: " + failed.message();
     }
     core_.ask_for_load = [this](const std::string& address, bool once) { ask(address, once); };
+    core_.send_to_sidecar = [this](const std::string& ip, const schema::beacon_subscription& m) {
+        send(ip, m);
+    };
     runtime::spawn(core_.traffic, [this] { return subscribe(); });
     runtime::spawn(core_.traffic, [this] { return receive(); });
     return "";
@@ -97,10 +101,16 @@
     schema::beacon_subscription subscription;
     subscription.set_gateway(core_.settings.name);
     subscription.set_once(once);
-    const udp::endpoint to(asio::ip::make_address(at->ip), core_.settings.sidecar_port);
-    boost::system::error_code ignored;
-    // Errors are ignored: a lost datagram is followed by the next question or subscription.
-    (void)socket_.send_to(asio::buffer(subscription.SerializeAsString()), to, 0, ignored);
+    send(at->ip, subscription);
+}
+
+void beacon_listener::send(const std::string& ip, const schema::beacon_subscription& m) {
+    boost::system::error_code failed;
+    const udp::endpoint to(asio::ip::make_address(ip, failed), core_.settings.sidecar_port);
+    if (!failed) {
+        // Errors are ignored: a lost datagram is followed by the next question or subscription.
+        (void)socket_.send_to(asio::buffer(m.SerializeAsString()), to, 0, failed);
+    }
 }
 
 // Subscribes to the engines that serve requests of this gateway, so that a silent one is noticed.
@@ -130,6 +140,10 @@
         if (failed || !b.ParseFromArray(bytes.data(), static_cast<int>(size))) {
             continue;
         }
+        if (b.has_answer()) {
+            record_origin_answer(core_, b.answer());
+            continue;
+        }
         const std::string ip = from.address().to_string();
         if (const dispatch::upstream* u = engine_at(core_.view, ip, b.born_ms())) {
             record_load_answer(core_, u->id);
--- a/libs/gateway/src/beacon_listener.h
+++ b/libs/gateway/src/beacon_listener.h
@@ -21,6 +21,7 @@
     // Asks the sidecar of the upstream at this address for one beacon, or subscribes to its
     // beacons.
     void ask(const std::string& upstream_address, bool once);
+    void send(const std::string& ip, const schema::beacon_subscription& m);
     boost::asio::awaitable<void> subscribe();
     boost::asio::awaitable<void> receive();
 
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -84,7 +84,9 @@
     }
 }
 
-connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now) {
+connection_ptr take_idle(connection_pool& pool, std::uint64_t born_ms, bool recent_only,
+                         time_point now) {
+    std::erase_if(pool.idle, [&](const connection_ptr& c) { return c->born_ms != born_ms; });
     while (!pool.idle.empty()) {
         connection_ptr c = pool.idle.back();
         if (recent_only && !recently_used(*c, now)) {
--- a/libs/gateway/src/connection_pool.h
+++ b/libs/gateway/src/connection_pool.h
@@ -28,6 +28,8 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{max_unread_bytes};
+    // Start of the incarnation of the upstream that it was opened to.
+    std::uint64_t born_ms = 0;
     std::uint32_t requests = 0;
     time_point idle_since{};
     // How long the upstream keeps the connection open while it is idle.
@@ -66,9 +68,10 @@
 // Records an error that a call on the connection returned.
 void record_error(upstream_connection& c, const boost::system::error_code& e);
 
-// An idle connection that is still open; null if there is none. With `recent_only`, only one that
-// was recently used.
-[[nodiscard]] connection_ptr take_idle(connection_pool& pool, bool recent_only, time_point now);
+// An idle connection to this incarnation of the upstream that is still open; null if there is none.
+// Closes those to other incarnations. With `recent_only`, only one that was recently used.
+[[nodiscard]] connection_ptr take_idle(connection_pool& pool, std::uint64_t born_ms,
+                                       bool recent_only, time_point now);
 // Adds a connection on which a complete answer has been read.
 void keep(connection_pool& pool, connection_ptr c, time_point now);
 // Puts back an idle connection that was taken and not used; closes one that is new.
--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -19,6 +19,7 @@
 #include "gateway/protocol.h"
 #include "gateway/settings.h"
 #include "quarantine/quarantine.h"
+#include "resumption/origins.h"
 #include "runtime/loop.h"
 #include "runtime/metrics.h"
 #include "runtime/rpc.h"
@@ -31,6 +32,7 @@
 class session;
 class beacon_listener;
 struct load_question;
+struct origin_question;
 struct request_state;
 
 struct demand_key {
@@ -107,6 +109,12 @@
     std::function<void(const std::string& address, bool once)> ask_for_load;
     // Requests that wait for such answers.
     std::list<load_question*> load_questions;
+    // Sends one datagram to the sidecar on a host. Empty if there are no sidecars.
+    std::function<void(const std::string& ip, const schema::beacon_subscription&)> send_to_sidecar;
+    // Origins of the streams that this gateway began.
+    resumption::origin_table origins;
+    // Requests that wait for sidecars' answers about origins.
+    std::list<origin_question*> origin_questions;
     std::list<std::weak_ptr<session>> sessions;
     std::list<std::weak_ptr<request_state>> open_requests;
     // Connections of callers on which a request is being read, served or answered, until the last
--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -1,6 +1,7 @@
 // Routes a request and makes attempts until one succeeds or no further attempt is allowed.
 #include "request.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -13,6 +14,7 @@
 #include "runtime/clock.h"
 #include "runtime/log.h"
 #include "send_permits.h"
+#include "stream_origin.h"
 
 namespace burdockdeck::gateway {
 
@@ -64,8 +66,7 @@
     }
     r.route = *route;
     r.version = c.view.current.version;
-    std::uniform_real_distribution<double> draw(0, 1);
-    r.service = deployment::service_of(*route, draw(c.rng));
+    r.service = deployment::service_of(*route, draw_for(c, r));
     if (const auto* service = deployment::find_service(c.view.current, r.service)) {
         r.max_connections = service->max_connections;
         r.kv_tokens = service->engine.kv_tokens;
@@ -140,6 +141,19 @@
     co_return true;
 }
 
+// True if the request was refused, since it is not known at which version its stream began.
+asio::awaitable<bool> refuse_if_origin_unknown(core& c, session& caller, request_state& r) {
+    if (!is_taken_up(r) || co_await bind_to_origin(c, r)) {
+        co_return false;
+    }
+    if (!caller.caller_left()) {
+        c.metrics.count("burdockdeck_streams_of_unknown_origin_total");
+        std::string reason = "it is not known at which software version the stream began";
+        co_await refuse(c, caller, r, unavailable, std::move(reason), retry_after_no_upstream);
+    }
+    co_return true;
+}
+
 // The time after which the caller may come back, if the upstreams that could serve the request all
 // ask for a pause; empty otherwise. The upstreams that it was sent to count as well, since the next
 // request may go to them.
@@ -182,6 +196,14 @@
     return std::chrono::duration_cast<duration>(wait * draw(c.rng));
 }
 
+// True if an upstream of one of these software versions accepts requests.
+bool has_software(const std::vector<dispatch::upstream*>& all,
+                  const dispatch::software_set& versions) {
+    return std::any_of(all.begin(), all.end(), [&](const dispatch::upstream* u) {
+        return u->accepting && !u->leaving && versions.contains(u->software_version);
+    });
+}
+
 // The upstream for the next attempt. While none can take the request, waits for up to
 // `wait_fraction` of the remaining time, but only if the request has not been sent before. A
 // request whose model is absent waits only for a load that is under way.
@@ -213,6 +235,10 @@
                 break;
             }
         }
+        if (!r.origin.empty() && !has_software(all, r.origin)) {
+            r.last_failure = "no upstream of the stream's software version is left";
+            break;
+        }
         const bool paused = pause_of_service(c, r, now).has_value();
         if (paused && r.last_failure.empty()) {
             r.last_failure = "all upstreams are paused or at their rate limit";
@@ -453,12 +479,20 @@
     v.service = r.service;
     v.failure_domain = c.settings.failure_domain;
     v.tried = &r.tried;
+    if (is_bound_to_version(r)) {
+        v.software = r.origin.empty() ? &recorded_versions(c.view, r.service) : &r.origin;
+    }
     v.unloading = &c.view.pending_unloads;
     v.tokens_per_ms =
         dispatch::speed_of(c.speeds, r.facts.needs.model, c.settings.choice.read_tokens_per_ms);
     return v;
 }
 
+bool may_stream_from(const core& c, const request_state& r, const std::string& software_version) {
+    const dispatch::software_set* allowed = make_request_view(c, r).software;
+    return allowed == nullptr || allowed->contains(software_version);
+}
+
 asio::awaitable<void> refuse(core& c, session& caller, request_state& r, unsigned status,
                              std::string reason, duration retry_after) {
     c.metrics.count("burdockdeck_requests_refused_total", "status=" + std::to_string(status));
@@ -530,7 +564,8 @@
             r->current->abort();
         }
     });
-    if (!co_await refuse_if_too_late(c, caller, *r)) {
+    if (!co_await refuse_if_origin_unknown(c, caller, *r) &&
+        !co_await refuse_if_too_late(c, caller, *r)) {
         co_await run_attempts(c, caller, *r);
     }
     close_successor(*r);
--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -41,6 +41,9 @@
     // the request is then not sent again.
     bool may_have_crashed_engine = false;
 
+    // Resumable streams: the software version of the events that the caller has; empty if it has
+    // none. Does not change once it is known.
+    dispatch::software_set origin;
     // Streams: whether the head was sent to the caller, and the events forwarded since.
     bool head_sent = false;
     event_splitter events;
@@ -63,9 +66,11 @@
     bool awaits_upstream = false;
     // Another upstream that the request is being sent to while the current one is silent.
     std::shared_ptr<gateway::successor> successor;
-    // The incarnation of the upstream of the current attempt, when the request was sent to it, and
-    // when the first and the last event arrived from it; the epoch if none has.
+    // The incarnation of the upstream of the current attempt and its software version, when the
+    // request was sent to it, and when the first and the last event arrived from it; the epoch if
+    // none has.
     std::uint64_t sent_to_born_ms = 0;
+    std::string sent_to_software;
     time_point sent_at{};
     time_point attempt_began_at{};
     time_point attempt_progress_at{};
@@ -85,6 +90,11 @@
     return r.repeatable && r.events.events_without_id == 0 && !r.may_have_crashed_engine;
 }
 
+// True if all events of the answer must come from upstreams of one software version.
+[[nodiscard]] inline bool is_bound_to_version(const request_state& r) {
+    return r.route.kind == deployment::repeatability::streaming && r.route.resumable;
+}
+
 // Time from the first to the last event that arrived in the current attempt.
 [[nodiscard]] inline duration written_time(const request_state& r) {
     return r.attempt_progress_at - r.attempt_began_at;
@@ -102,6 +112,10 @@
 
 // What the choice of an upstream for `r` depends on; refers to `r`.
 [[nodiscard]] dispatch::request_view make_request_view(const core& c, const request_state& r);
+// True if a software version may send events of `r`: any version may for requests that are not
+// bound to one.
+[[nodiscard]] bool may_stream_from(const core& c, const request_state& r,
+                                   const std::string& software_version);
 // The key under which the demand of `r` is counted.
 [[nodiscard]] demand_key demand_key_of(const core& c, const request_state& r);
 // Time until the answer has to end. While the head of the answer has not been sent, a margin is
@@ -113,9 +127,9 @@
 // The request as it is sent to the upstream `id`; refers to `r`.
 [[nodiscard]] outgoing_request make_outgoing(const core& c, const request_state& r,
                                              const std::string& id);
-// A connection to the upstream `id`; null if that failed, with the reason in `failure`.
+// A connection to this upstream; null if that failed, with the reason in `failure`.
 boost::asio::awaitable<connection_ptr> acquire_connection(core& c, const request_state& r,
-                                                          std::string id, std::string address,
+                                                          dispatch::incarnation target,
                                                           std::string& failure);
 // Counts one send of `r` to the upstream `id`.
 void record_send_to(core& c, request_state& r, const std::string& id);
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -230,6 +230,10 @@
             }
         }
         c.view.gateways = std::max(1U, update.gateways());
+        if (update.has_software() && update.software().revision() > c.view.software.revision) {
+            apply_software(c.view, update.software());
+            changed = true;
+        }
         merge_crash_news(c, update.crash_news(), now);
         apply_limits(c, update, now);
         if (changed) {
@@ -285,6 +289,7 @@
             for (auto& [id, pool] : c.pools) {
                 close_expired(pool, now);
             }
+            resumption::expire(c.origins, now);
             c.sessions.remove_if([](const std::weak_ptr<session>& s) { return s.expired(); });
             if (++maintenance_runs % maintenance_runs_per_report == 0 || c.demand_report_due) {
                 c.demand_report_due = false;
--- a/libs/gateway/src/site_view.cpp
+++ b/libs/gateway/src/site_view.cpp
@@ -43,14 +43,19 @@
     return out;
 }
 
+void withdraw(dispatch::upstream& u, time_point now) {
+    u.withdrawn_at = u.accepting ? now : u.withdrawn_at;
+    u.accepting = false;
+}
+
 // Control may have forgotten the earlier incarnations at an address, so that it does not report
 // them as gone. Withdraws them; false if the address belongs to a newer incarnation, or to one that
 // started at the same time and was known first.
-bool take_address(site_view& v, const schema::upstream_announcement& a) {
+bool take_address(site_view& v, const schema::upstream_announcement& a, time_point now) {
     bool taken = true;
     for (dispatch::upstream* other : others_at_address(v, a)) {
         if (other->born_ms < a.born_ms()) {
-            other->accepting = false;
+            withdraw(*other, now);
         } else {
             taken = false;
         }
@@ -81,6 +86,12 @@
     return out;
 }
 
+const dispatch::software_set& recorded_versions(const site_view& v, std::string_view service) {
+    static const dispatch::software_set none;
+    const auto found = v.software.versions.find(service);
+    return found == v.software.versions.end() ? none : found->second;
+}
+
 dispatch::upstream* engine_at(site_view& v, std::string_view ip, std::uint64_t born_ms) {
     const auto ids = v.ids_by_ip.find(ip);
     if (ids == v.ids_by_ip.end()) {
@@ -139,6 +150,17 @@
     }
 }
 
+void apply_software(site_view& v, const rpc::software_versions& list) {
+    if (list.revision() < v.software.revision) {
+        return;
+    }
+    v.software.revision = list.revision();
+    v.software.versions.clear();
+    for (const auto& [service, software] : list.services()) {
+        v.software.versions[service] = {software.versions().begin(), software.versions().end()};
+    }
+}
+
 bool apply_announcement(site_view& v, const schema::upstream_announcement& a, time_point now) {
     const std::pair order{a.born_ms(), a.sequence()};
     const auto known = v.last_announcements.find(a.id());
@@ -148,7 +170,9 @@
         // Control was told by a gateway that the upstream leaves, possibly before it received the
         // upstream's latest announcement.
         dispatch::upstream& u = v.upstreams.at(a.id());
-        return std::exchange(u.accepting, false);
+        const bool accepted = u.accepting;
+        withdraw(u, now);
+        return accepted;
     }
     if (known != v.last_announcements.end() &&
         (order < known->second || (order == known->second && !withdrawn))) {
@@ -170,10 +194,17 @@
             v.ids_by_ip[at->ip].insert(u.id);
         }
     }
+    if (u.software_version.empty()) {
+        u.software_version = a.software_version();
+    }
     u.service = a.service();
     u.failure_domain = a.failure_domain();
     u.slots = a.slots();
-    u.accepting = !withdrawn && !was_withdrawn && take_address(v, a);
+    if (withdrawn || was_withdrawn || !take_address(v, a, now)) {
+        withdraw(u, now);
+    } else {
+        u.accepting = true;
+    }
     u.cold_until = a.cold_ms() > 0 ? now + std::chrono::milliseconds(a.cold_ms()) : time_point{};
     u.leaves_at =
         a.leaves_ms() > 0 ? now + std::chrono::milliseconds(a.leaves_ms()) : time_point::max();
--- a/libs/gateway/src/site_view.h
+++ b/libs/gateway/src/site_view.h
@@ -10,6 +10,7 @@
 #include "deployment/deployment.h"
 #include "dispatch/roles.h"
 #include "dispatch/upstream.h"
+#include "services.pb.h"
 #include "site.pb.h"
 
 namespace burdockdeck::gateway {
@@ -24,6 +25,13 @@
     double all_tokens = 0;
 };
 
+// The software versions at which streams may have been begun, as control last told.
+struct software_list {
+    std::uint64_t revision = 0;
+    // By service.
+    std::map<std::string, dispatch::software_set, std::less<>> versions;
+};
+
 struct site_view {
     // Version 0 until the first deployment has been received from control.
     deployment::site current;
@@ -46,6 +54,7 @@
     std::map<std::string, prompt_mix, std::less<>> prompts;
     // The engines by which roles were last assigned, by service; none if they are not divided.
     std::map<std::string, std::vector<dispatch::engine_location>, std::less<>> divided_engines;
+    software_list software;
     // Number of gateways that share the fleet's retry budgets.
     std::uint32_t gateways = 1;
 };
@@ -54,6 +63,10 @@
 
 [[nodiscard]] std::vector<dispatch::upstream*> upstreams_of(site_view& v, std::string_view service);
 
+// The software versions at which a stream of the service may begin.
+[[nodiscard]] const dispatch::software_set& recorded_versions(const site_view& v,
+                                                              std::string_view service);
+
 // The engine that started at `born_ms` at this IP address; null if there is none.
 [[nodiscard]] dispatch::upstream* engine_at(site_view& v, std::string_view ip,
                                             std::uint64_t born_ms);
@@ -72,6 +85,8 @@
 // or joined.
 void record_prompt(site_view& v, const std::string& service, std::uint32_t tokens,
                    const dispatch::role_settings& s);
+// Applies a list of software versions unless a newer one was applied.
+void apply_software(site_view& v, const rpc::software_versions& list);
 // Applies an announcement that is newer than the last one applied, or equally new and states that
 // the upstream is not ready; an older one only withdraws its incarnation. An incarnation that was
 // withdrawn stays so. An address belongs to its newest incarnation; older ones there are withdrawn.
--- a/libs/gateway/src/takeover.cpp
+++ b/libs/gateway/src/takeover.cpp
@@ -58,7 +58,7 @@
     const duration needed = expected_time(next);
     return r.current != nullptr && r.awaits_upstream && may_send_again(c, r) &&
            !judge_request(c, r, now).quarantined && notice_against(c, next.to->id).empty() &&
-           time_left(r, now) > needed &&
+           may_stream_from(c, r, next.to->software_version) && time_left(r, now) > needed &&
            dispatch::next_step(describe(c, r, now), needed, now) == takeover_step::prepare &&
            // A process that was suspended has yet to read what arrived meanwhile.
            !r.current->has_unread_bytes();
@@ -141,14 +141,16 @@
         co_return;
     }
     std::string failure;
-    connection_ptr connection =
-        co_await acquire_connection(c, *r, s->target.id, s->target.address, failure);
+    connection_ptr connection = co_await acquire_connection(c, *r, s->target, failure);
     if (connection == nullptr) {
         record_failure(c, *r, *s, dispatch::attempt_outcome::unreachable, "not_sent",
                        "connect: " + failure);
     }
     const bool is_wanted = caller_waits(*r) && r->successor == s;
-    if (!is_wanted || connection == nullptr ||
+    const auto upstream = c.view.upstreams.find(s->target.id);
+    const bool is_same =
+        upstream != c.view.upstreams.end() && dispatch::is_incarnation(upstream->second, s->target);
+    if (!is_wanted || connection == nullptr || !is_same ||
         !may_prepare(c, *r, s->chosen, runtime::boot_now())) {
         if (connection != nullptr) {
             return_unused(c.pools[s->target.id], connection);
@@ -159,10 +161,6 @@
         co_return;
     }
     s->sent_at = runtime::boot_now();
-    const auto upstream = c.view.upstreams.find(s->target.id);
-    if (upstream != c.view.upstreams.end()) {
-        s->target.born_ms = upstream->second.born_ms;
-    }
     s->sent_on = std::make_shared<exchange>(connection, c.protocol, notice_observer(c, s->target));
     connection.reset();
     record_send_to(c, *r, s->target.id);
--- a/libs/gateway/tests/faulty_upstream.h
+++ b/libs/gateway/tests/faulty_upstream.h
@@ -167,13 +167,17 @@
     std::thread thread_;
 };
 
-// Header names: Id (a request's, echoed), Signature, Not-Run, Encoding, Last-Event, Leaving,
-// Pause-Ms, Limit. Written to callers: Come-Back-Ms.
+// Header names: Id (a request's, echoed), Resumes, Signature, Not-Run, Encoding, Last-Event,
+// Leaving, Pause-Ms, Limit. Written to callers: Come-Back-Ms.
 inline caller_protocol short_protocol() {
     caller_protocol p;
     p.read_request = [](const header_list& headers) {
         request_facts facts;
         facts.id = find_header(headers, "Id");
+        facts.resumes = find_header(headers, "Resumes");
+        if (const std::string_view last = find_header(headers, "Last-Event"); !last.empty()) {
+            facts.last_event_id = std::stoul(std::string(last));
+        }
         return facts;
     };
     p.is_reserved = [](std::string_view name) { return name == "Last-Event"; };
@@ -231,12 +235,14 @@
         std::promise<void> done;
         core_->traffic.post([&] {
             core_->view.current = s;
+            core_->view.software.versions["orders"] = {"v1"};
             for (const std::uint16_t port : upstream_ports) {
                 dispatch::upstream u;
                 u.id = "u" + std::to_string(port);
                 u.service = "orders";
                 u.address = "127.0.0.1:" + std::to_string(port);
                 u.slots = 6;
+                u.software_version = "v1";
                 core_->view.upstreams.emplace(u.id, u);
             }
             done.set_value();
@@ -245,7 +251,9 @@
     }
 
     // The caller's end of a connection on which a request with this id has been sent.
-    tcp::socket begin_call(const std::string& id, const std::string& body = "body") {
+    // `headers` are further lines of its head.
+    tcp::socket begin_call(const std::string& id, const std::string& body = "body",
+                           const std::string& headers = "") {
         tcp::acceptor front(outside_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
         tcp::socket caller(outside_);
         caller.connect(front.local_endpoint());
@@ -255,15 +263,16 @@
         runtime::spawn(core_->traffic, [s] { return s->run(); });
         s.reset();
         const std::string request =
-            "POST /a HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\nId: " + id +
-            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            "POST /a HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\nId: " + id + "\r\n" +
+            headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
         asio::write(caller, asio::buffer(request));
         return caller;
     }
 
     // Everything that a caller receives for a request with this id, until the connection is closed.
-    std::string call(const std::string& id, const std::string& body = "body") {
-        tcp::socket caller = begin_call(id, body);
+    std::string call(const std::string& id, const std::string& body = "body",
+                     const std::string& headers = "") {
+        tcp::socket caller = begin_call(id, body, headers);
         std::string all;
         boost::system::error_code ended;
         asio::read(caller, asio::dynamic_buffer(all), ended);
--- a/libs/gateway/tests/fixture.h
+++ b/libs/gateway/tests/fixture.h
@@ -214,6 +214,7 @@
     u.service = "maps";
     u.address = address;
     u.slots = 6;
+    u.software_version = "v1";
     if (!model.empty()) {
         u.models[model] = {};
     }
@@ -236,7 +237,10 @@
         auto access = runtime::rpc_access::create(settings.access);
         REQUIRE(succeeded(access));
         c = std::make_unique<core>(settings, plain_protocol(model), value(access));
-        run_on_traffic_loop(*c, [&] { c->view.current = make_site(kind); });
+        run_on_traffic_loop(*c, [&] {
+            c->view.current = make_site(kind);
+            c->view.software.versions["maps"] = {"v1"};
+        });
         runtime::spawn(c->traffic, [this] { return check_silence(*c); });
     }
     void add(const dispatch::upstream& u) {
--- a/libs/gateway/tests/test_deadly_parts.cpp
+++ b/libs/gateway/tests/test_deadly_parts.cpp
@@ -234,12 +234,14 @@
     // Announces each engine under its present incarnation; it changes with each crash.
     void announce_engines() {
         run_on_traffic_loop(*core_, [this] {
+            core_->view.software.versions["llm"] = {"v1"};
             for (std::size_t i = 0; i < engines_.size(); ++i) {
                 schema::upstream_announcement a;
                 a.set_id("e" + std::to_string(i));
                 a.set_born_ms(1 + static_cast<std::uint64_t>(engines_[i]->crashes));
                 a.set_sequence(++announced_);
                 a.set_service("llm");
+                a.set_software_version("v1");
                 a.set_address("127.0.0.1:" + std::to_string(engines_[i]->port()));
                 a.set_slots(64);
                 a.add_models()->set_name("m");
--- a/libs/gateway/tests/test_load_questions.cpp
+++ b/libs/gateway/tests/test_load_questions.cpp
@@ -84,6 +84,7 @@
         a.set_id("only");
         a.set_born_ms(7);
         a.set_service("maps");
+        a.set_software_version("v1");
         a.set_address(only.address());
         a.set_slots(64);
         a.add_models()->set_name("m");
--- /dev/null
+++ b/libs/gateway/tests/test_stream_origin.cpp
@@ -0,0 +1,269 @@
+// Streams while upstreams of two software versions serve: a stream holds events from one version
+// only, within one answer and when its caller takes it up at another gateway.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "faulty_upstream.h"
+#include "runtime/clock.h"
+#include "runtime/rpc.h"
+#include "services.grpc.pb.h"
+#include "stream_origin.h"
+
+using namespace burdockdeck;
+using namespace burdockdeck::gateway::testing;
+using deployment::repeatability;
+
+namespace {
+
+// A stream without a length: its events, which end with the connection.
+std::string stream_of(int first, int last) {
+    std::string out =
+        "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n";
+    for (int id = first; id <= last; ++id) {
+        out += "id: " + std::to_string(id) + "\ndata: x" + std::to_string(id) + "\n\n";
+    }
+    return out;
+}
+
+// The same, broken off inside an event.
+std::string torn_stream_of(int first, int last) {
+    return stream_of(first, last) + "id: ";
+}
+
+// Sets the software versions of the upstreams, in the order of their ports, and the list that
+// control told.
+void set_software(gateway_under_test& g, const std::vector<std::uint16_t>& ports,
+                  const std::vector<std::string>& versions, const dispatch::software_set& listed) {
+    g.run([&](gateway::core& c) {
+        c.view.software.versions["orders"] = listed;
+        for (std::size_t i = 0; i < ports.size(); ++i) {
+            c.view.upstreams.at("u" + std::to_string(ports[i])).software_version = versions[i];
+        }
+    });
+}
+
+// Sidecars by host, without a network.
+struct sidecars {
+    std::map<std::string, resumption::origin_table> by_host;
+    // Hosts that do not answer.
+    std::set<std::string> silent;
+    std::size_t told = 0;
+    std::size_t asked = 0;
+
+    void connect(gateway_under_test& g, const std::vector<std::string>& hosts) {
+        g.run([&](gateway::core& c) {
+            for (const std::string& host : hosts) {
+                dispatch::upstream u;
+                u.id = "engine at " + host;
+                u.service = "other";
+                u.address = host + ":80";
+                u.models["m"] = {};
+                c.view.upstreams.emplace(u.id, u);
+                c.view.ids_by_ip[host].insert(u.id);
+            }
+            c.send_to_sidecar = [this, &c](const std::string& ip,
+                                           const schema::beacon_subscription& m) {
+                const time_point now = runtime::boot_now();
+                if (m.has_begun()) {
+                    ++told;
+                    resumption::record_origin(by_host[ip], m.begun().request(),
+                                              {m.begun().service(), m.begun().software_version()},
+                                              std::chrono::milliseconds(m.begun().ttl_ms()), now);
+                }
+                if (m.has_question() && !silent.contains(ip)) {
+                    ++asked;
+                    schema::stream_answer a;
+                    a.set_number(m.question().number());
+                    if (const auto known =
+                            resumption::find_origin(by_host[ip], m.question().request(), now)) {
+                        a.set_software_version(known->software_version);
+                    }
+                    c.traffic.post([&c, a] { gateway::record_origin_answer(c, a); });
+                }
+            };
+        });
+    }
+};
+
+// A control instance that leads and answers reads of the list.
+class leader : public rpc::control::CallbackService {
+public:
+    explicit leader(const dispatch::software_set& versions) : versions_(versions) {
+        access_ = value(runtime::rpc_access::create({}));
+        server_ =
+            value(runtime::start_server("127.0.0.1:" + std::to_string(port), access_, {this}));
+    }
+    void connect(gateway_under_test& g) {
+        g.run([&](gateway::core& c) {
+            c.leader = rpc::control::NewStub(
+                runtime::open_channel("127.0.0.1:" + std::to_string(port), c.access));
+        });
+    }
+    grpc::ServerUnaryReactor* read_software(grpc::CallbackServerContext* context,
+                                            const rpc::read_software_request*,
+                                            rpc::read_software_reply* reply) override {
+        reply->set_confirmed(confirmed);
+        reply->mutable_software()->set_revision(7);
+        for (const std::string& v : versions_) {
+            (*reply->mutable_software()->mutable_services())["orders"].add_versions(v);
+        }
+        auto* reactor = context->DefaultReactor();
+        reactor->Finish(grpc::Status::OK);
+        return reactor;
+    }
+
+    static constexpr int port = 47391;
+    bool confirmed = true;
+
+private:
+    dispatch::software_set versions_;
+    runtime::rpc_access access_;
+    std::unique_ptr<grpc::Server> server_;
+};
+
+bool is_served(const std::string& answer, int first, int last) {
+    return answer.starts_with("HTTP/1.1 200") &&
+           answer.find("data: x" + std::to_string(first) + "\n") != std::string::npos &&
+           answer.find("data: x" + std::to_string(last) + "\n") != std::string::npos &&
+           answer.ends_with("0\r\n\r\n");
+}
+
+const std::string after_two = "Resumes: r1\r\nLast-Event: 2\r\n";
+
+}  // namespace
+
+// Guards against an answer joined from two software versions: an upstream of the new version went
+// on with a stream that one of the old version had begun.
+TEST_CASE("a stream that breaks off does not go on at another software version") {
+    for (int round = 0; round < 10; ++round) {
+        const scripted_upstreams upstreams(
+            2, {{torn_stream_of(0, 2), ending::close}, {stream_of(3, 4), ending::close}});
+        gateway_under_test g(upstreams.ports(), repeatability::streaming);
+        set_software(g, upstreams.ports(), {"v1", "v2"}, {"v1", "v2"});
+        const std::string answer = g.call("r1");
+        INFO(answer);
+        CHECK(answer.find("data: x2\n") != std::string::npos);
+        CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+        CHECK(upstreams.received().size() == 1);
+    }
+}
+
+TEST_CASE("a stream that breaks off goes on at an upstream of its software version") {
+    for (int round = 0; round < 10; ++round) {
+        const scripted_upstreams upstreams(
+            4, {{torn_stream_of(0, 2), ending::close}, {stream_of(3, 4), ending::close}});
+        gateway_under_test g(upstreams.ports(), repeatability::streaming);
+        set_software(g, upstreams.ports(), {"v1", "v2", "v1", "v2"}, {"v1", "v2"});
+        CHECK(is_served(g.call("r1"), 0, 4));
+        const auto received = upstreams.received();
+        REQUIRE(received.size() == 2);
+        CHECK(received[0].upstream % 2 == received[1].upstream % 2);
+    }
+}
+
+// Guards against streams at a version that a gateway which starts later would not know of.
+TEST_CASE("no stream begins at a software version that control has not recorded") {
+    const scripted_upstreams upstreams(2, {{stream_of(0, 4), ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    set_software(g, upstreams.ports(), {"v1", "v2"}, {"v2"});
+    CHECK(is_served(g.call("r1"), 0, 4));
+    REQUIRE(upstreams.received().size() == 1);
+    CHECK(upstreams.received()[0].upstream == 1);
+}
+
+TEST_CASE("calls go to any software version") {
+    const scripted_upstreams upstreams(
+        1, {{"HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Length: 4\r\n\r\ndone"}});
+    gateway_under_test g(upstreams.ports(), repeatability::idempotent);
+    set_software(g, upstreams.ports(), {"v2"}, {"v1"});
+    CHECK(g.call("r1").ends_with("done"));
+}
+
+// Guards against the report of joined streams after a loss of all gateways: the one that takes the
+// stream up has no memory of it.
+TEST_CASE("a stream that is taken up goes on at the software version that began it") {
+    const std::vector<std::string> hosts{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"};
+    for (int round = 0; round < 10; ++round) {
+        const scripted_upstreams first(1, {{torn_stream_of(0, 2), ending::close}});
+        const scripted_upstreams second(2, {{stream_of(3, 4), ending::close}});
+        sidecars s;
+        gateway_under_test g1(first.ports(), repeatability::streaming);
+        s.connect(g1, hosts);
+        set_software(g1, first.ports(), {"v1"}, {"v1", "v2"});
+        gateway_under_test g2(second.ports(), repeatability::streaming);
+        s.connect(g2, hosts);
+        set_software(g2, second.ports(), {"v2", "v1"}, {"v1", "v2"});
+        CHECK_FALSE(g1.call("r1").ends_with("0\r\n\r\n"));
+        CHECK(s.told == 3);
+        CHECK(is_served(g2.call("r2", "body", after_two), 3, 4));
+        REQUIRE(second.received().size() == 1);
+        CHECK(second.received()[0].upstream == 1);
+        CHECK(second.received()[0].last_event_id == "2");
+        // A further attempt would name the first one again.
+        CHECK(s.told == 3);
+    }
+}
+
+TEST_CASE("the gateway that began a stream needs nobody to take it up") {
+    const scripted_upstreams upstreams(4, {{torn_stream_of(0, 2), ending::close},
+                                           {torn_stream_of(3, 3), ending::close},
+                                           {stream_of(4, 4), ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    set_software(g, upstreams.ports(), {"v1", "v2", "v1", "v2"}, {"v1", "v2"});
+    (void)g.call("r1");
+    REQUIRE(upstreams.received().size() == 2);
+    const std::string answer = g.call("r2", "body", "Resumes: r1\r\nLast-Event: 3\r\n");
+    CHECK(is_served(answer, 4, 4));
+    CHECK(upstreams.received()[2].upstream % 2 == upstreams.received()[0].upstream % 2);
+}
+
+TEST_CASE("a stream of unknown origin is refused at once while two versions serve") {
+    const scripted_upstreams upstreams(2, {{stream_of(3, 4), ending::close}});
+    sidecars s;
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    s.connect(g, {"10.0.0.1", "10.0.0.2"});
+    set_software(g, upstreams.ports(), {"v1", "v2"}, {"v1", "v2"});
+    const time_point began = runtime::boot_now();
+    CHECK(g.call("r2", "body", after_two).starts_with("HTTP/1.1 503"));
+    CHECK(runtime::boot_now() - began < std::chrono::milliseconds(500));
+    CHECK(s.asked == 2);
+    CHECK(g.call("r3", "body", "Last-Event: 2\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(upstreams.received().empty());
+    // Neither has a sidecar that does not answer a say.
+    s.silent = {"10.0.0.1", "10.0.0.2"};
+    CHECK(g.call("r4", "body", after_two).starts_with("HTTP/1.1 503"));
+    CHECK(upstreams.received().empty());
+}
+
+TEST_CASE("a stream of unknown origin goes on while control lists one version") {
+    leader l({"v1"});
+    const scripted_upstreams upstreams(1, {{stream_of(3, 4), ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    l.connect(g);
+    CHECK(is_served(g.call("r2", "body", after_two), 3, 4));
+}
+
+// Guards against a gateway that has just started, or was cut off, and takes what it sees for all
+// that ever served.
+TEST_CASE("a gateway's own list of one version proves nothing") {
+    leader l({"v1", "v2"});
+    const scripted_upstreams upstreams(1, {{stream_of(3, 4), ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    CHECK(g.call("r2", "body", after_two).starts_with("HTTP/1.1 503"));
+    l.connect(g);
+    CHECK(g.call("r3", "body", after_two).starts_with("HTTP/1.1 503"));
+    g.run([](gateway::core& c) { CHECK(c.view.software.versions["orders"].size() == 2); });
+    CHECK(upstreams.received().empty());
+}
+
+TEST_CASE("control that cannot confirm its list proves nothing") {
+    leader l({"v1"});
+    l.confirmed = false;
+    const scripted_upstreams upstreams(1, {{stream_of(3, 4), ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    l.connect(g);
+    CHECK(g.call("r2", "body", after_two).starts_with("HTTP/1.1 503"));
+    CHECK(upstreams.received().empty());
+}
--- a/libs/registry/include/registry/registry.h
+++ b/libs/registry/include/registry/registry.h
@@ -48,10 +48,11 @@
 
 // --- Commands
 
-// Stores an announcement unless a newer one of the same upstream is known. A newer incarnation at
-// an address marks all older ones at that address as gone; of those that started at the same time,
-// the first one known keeps the address.
-merge_result merge(registry& r, const schema::upstream_announcement& a, time_point now);
+// Stores an announcement unless a newer one of the same upstream is known. An incarnation keeps the
+// software version that it announced first. A newer incarnation at an address marks all older ones
+// at that address as gone; of those that started at the same time, the first one known keeps the
+// address.
+merge_result merge(registry& r, schema::upstream_announcement a, time_point now);
 // Removes upstreams that have been gone for longer than `gone_retention`, and others that have sent
 // no announcement for longer than `silence_timeout`. Returns the removed ids.
 std::vector<std::string> expire(registry& r, time_point now, duration gone_retention,
--- a/libs/registry/src/registry.cpp
+++ b/libs/registry/src/registry.cpp
@@ -63,6 +63,14 @@
     return false;
 }
 
+// A start of an upstream has one software version, the first that it announced. An earlier version
+// of this program announced none.
+void keep_software_version(upstream_announcement& a, const upstream_announcement& known) {
+    if (a.born_ms() == known.born_ms() && !known.software_version().empty()) {
+        a.set_software_version(known.software_version());
+    }
+}
+
 }  // namespace
 
 std::vector<upstream_announcement> changed_since(const registry& r, std::uint64_t known) {
@@ -75,9 +83,10 @@
     return out;
 }
 
-merge_result merge(registry& r, const upstream_announcement& a, time_point now) {
+merge_result merge(registry& r, upstream_announcement a, time_point now) {
     const auto found = r.upstreams.find(a.id());
     if (found != r.upstreams.end()) {
+        keep_software_version(a, found->second.latest);
         const upstream_announcement& known = found->second.latest;
         const bool newer = order_of(a) > order_of(known);
         const bool same_incarnation = known.born_ms() == a.born_ms();
--- a/libs/registry/tests/test_registry.cpp
+++ b/libs/registry/tests/test_registry.cpp
@@ -53,6 +53,26 @@
     CHECK(merge(r, announce("b", 5, 2), start) == merge_result::changed);
 }
 
+// Guards against streams of one start of an upstream that count as those of two versions.
+TEST_CASE("the software version of an incarnation does not change") {
+    registry::registry r;
+    upstream_announcement a = announce("a", 5, 1);
+    a.set_software_version("v1");
+    CHECK(merge(r, a, start) == merge_result::changed);
+    a.set_sequence(2);
+    a.set_software_version("v2");
+    CHECK(merge(r, a, start) == merge_result::refreshed);
+    CHECK(r.upstreams.at("a").latest.software_version() == "v1");
+    a.set_sequence(3);
+    a.set_state(schema::announced_draining);
+    CHECK(merge(r, a, start) == merge_result::changed);
+    CHECK(state_of(r, "a") == schema::announced_draining);
+    CHECK(r.upstreams.at("a").latest.software_version() == "v1");
+    a.set_born_ms(6);
+    CHECK(merge(r, a, start) == merge_result::changed);
+    CHECK(r.upstreams.at("a").latest.software_version() == "v2");
+}
+
 // Guards against an update of all gateways for each model that an engine loads or unloads.
 TEST_CASE("a change of the models held is told from other changes") {
     registry::registry r;
--- a/libs/runtime/include/runtime/log.h
+++ b/libs/runtime/include/runtime/log.h
@@ -87,12 +87,14 @@
     request_quarantined,
     answer_header_invalid,
     upstream_notice,
+    software_version,
+    stream_taken_up,
     members_learnt,
     vote_handed_over,
     loop_lagged,
 };
 
-inline constexpr name_table<event, 77> event_names{{
+inline constexpr name_table<event, 79> event_names{{
     {event::started, "started"},
     {event::stopping, "stopping"},
     {event::stopped, "stopped"},
@@ -167,6 +169,8 @@
     {event::request_quarantined, "request_quarantined"},
     {event::answer_header_invalid, "answer_header_invalid"},
     {event::upstream_notice, "upstream_notice"},
+    {event::software_version, "software_version"},
+    {event::stream_taken_up, "stream_taken_up"},
     {event::members_learnt, "members_learnt"},
     {event::vote_handed_over, "vote_handed_over"},
     {event::loop_lagged, "loop_lagged"},
--- a/libs/sidecar/src/beacon_sender.cpp
+++ b/libs/sidecar/src/beacon_sender.cpp
@@ -94,6 +94,14 @@
         if (failed || !subscription.ParseFromArray(bytes.data(), static_cast<int>(size))) {
             continue;
         }
+        if (subscription.has_begun()) {
+            keep_origin(subscription.begun());
+            continue;
+        }
+        if (subscription.has_question()) {
+            answer(subscription.question(), from);
+            continue;
+        }
         if (!subscription.once()) {
             subscribers_[from] = runtime::boot_now();
             continue;
@@ -107,6 +115,24 @@
     }
 }
 
+void beacon_sender::keep_origin(const schema::stream_origin& begun) {
+    const time_point now = runtime::boot_now();
+    resumption::expire(origins_, now);
+    resumption::record_origin(origins_, begun.request(),
+                              {begun.service(), begun.software_version()},
+                              std::chrono::milliseconds(begun.ttl_ms()), now);
+}
+
+void beacon_sender::answer(const schema::stream_question& question, const udp::endpoint& to) {
+    const auto known = resumption::find_origin(origins_, question.request(), runtime::boot_now());
+    schema::engine_beacon message;
+    message.mutable_answer()->set_number(question.number());
+    if (known && known->service == question.service()) {
+        message.mutable_answer()->set_software_version(known->software_version);
+    }
+    send(message.SerializeAsString(), to);
+}
+
 asio::awaitable<void> beacon_sender::answer_questions() {
     while (!asking_.empty()) {
         if (!latest_ || runtime::boot_now() - latest_at_ > max_report_age) {
--- a/libs/sidecar/src/beacon_sender.h
+++ b/libs/sidecar/src/beacon_sender.h
@@ -1,6 +1,7 @@
 // Sends the engine's load to gateways as UDP datagrams (beacons): at once to a gateway that asks
 // for it, and regularly to those that subscribe. Each beacon carries the full state, so a lost one
-// needs no retry. Used on the control loop only.
+// needs no retry. The same socket receives the origins of streams and answers questions for them.
+// Used on the control loop only.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -11,6 +12,7 @@
 #include <string>
 
 #include "engine_link.h"
+#include "resumption/origins.h"
 #include "site.pb.h"
 
 namespace burdockdeck::sidecar {
@@ -25,6 +27,9 @@
 private:
     boost::asio::awaitable<void> receive_subscriptions();
     boost::asio::awaitable<void> send_beacons();
+    void keep_origin(const schema::stream_origin& begun);
+    // Answers a gateway that looks for the origin of a stream, also if none is kept here.
+    void answer(const schema::stream_question& question, const boost::asio::ip::udp::endpoint& to);
     // Sends a beacon to all gateways in `asking_`.
     boost::asio::awaitable<void> answer_questions();
     // Reads a report of the engine into `latest_`.
@@ -38,6 +43,8 @@
     boost::asio::ip::udp::socket socket_;
     // Time of the last subscription from each gateway.
     std::map<boost::asio::ip::udp::endpoint, time_point> subscribers_;
+    // Origins of streams that gateways began; their upstreams need not be the engine here.
+    resumption::origin_table origins_;
     // Gateways that wait for one beacon.
     std::set<boost::asio::ip::udp::endpoint> asking_;
     bool answering_ = false;
