Tests: streams whose version has left, split routes, and connections to an earlier start of an upstream

The mends that a second reader asked for had no tests of their own: a stream whose software version has left is refused within half a second and reaches nobody; a request and those that resume it draw the same service; a kept connection belongs to one start of its upstream, and an attempt whose upstream starts again while it connects is made anew.

--- a/libs/gateway/tests/test_stream_origin.cpp
+++ b/libs/gateway/tests/test_stream_origin.cpp
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "faulty_upstream.h"
+#include "request_state.h"
 #include "runtime/clock.h"
 #include "runtime/rpc.h"
 #include "services.grpc.pb.h"
@@ -267,3 +268,71 @@
     CHECK(g.call("r2", "body", after_two).starts_with("HTTP/1.1 503"));
     CHECK(upstreams.received().empty());
 }
+
+// Guards against a request that is held for a version that does not come back.
+TEST_CASE("a stream whose software version has left is refused at once") {
+    const scripted_upstreams upstreams(2, {{stream_of(3, 4), ending::close}});
+    sidecars s;
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    s.connect(g, {"10.0.0.1"});
+    set_software(g, upstreams.ports(), {"v2", "v1"}, {"v1", "v2"});
+    resumption::record_origin(s.by_host["10.0.0.1"], "r1", {"orders", "v1"},
+                              std::chrono::seconds(10), runtime::boot_now());
+    g.run([&](gateway::core& c) {
+        c.view.upstreams.at("u" + std::to_string(upstreams.ports()[1])).accepting = false;
+    });
+    const time_point began = runtime::boot_now();
+    CHECK(g.call("r2", "body", after_two).starts_with("HTTP/1.1 503"));
+    CHECK(runtime::boot_now() - began < std::chrono::milliseconds(500));
+    CHECK(upstreams.received().empty());
+}
+
+// Guards against a stream that goes on at another service of its route, and against refusals there.
+TEST_CASE("a stream of a split route goes on at its service") {
+    const scripted_upstreams upstreams(2, {});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    g.run([](gateway::core& c) {
+        deployment::route r = c.view.current.routes.front();
+        r.services = {{"orders", 1}, {"others", 1}};
+        std::map<std::string, int> drawn;
+        for (int i = 0; i < 400; ++i) {
+            gateway::request_state first;
+            first.facts.id = "r" + std::to_string(i);
+            gateway::request_state second;
+            second.facts.id = "s" + std::to_string(i);
+            second.facts.resumes = first.facts.id;
+            const std::string service = deployment::service_of(r, gateway::draw_for(c, first));
+            CHECK(service == deployment::service_of(r, gateway::draw_for(c, second)));
+            ++drawn[service];
+        }
+        CHECK(drawn["orders"] > 150);
+        CHECK(drawn["others"] > 150);
+    });
+}
+
+// Guards against events of one start of an upstream that count as those of another.
+TEST_CASE("a connection to an earlier start of an upstream is not used") {
+    const std::string kept =
+        "HTTP/1.1 200 OK\r\nId: $ID\r\nSignature: s\r\nContent-Length: 4\r\n\r\ndone";
+    const scripted_upstreams upstreams(1, {{kept}, {kept}, {kept}});
+    gateway_under_test g(upstreams.ports(), repeatability::idempotent);
+    const std::string id = "u" + std::to_string(upstreams.ports()[0]);
+    const auto idle = [&] {
+        std::size_t count = 0;
+        g.run([&](gateway::core& c) { count = c.pools[id].idle.size(); });
+        return count;
+    };
+    CHECK(g.call("r1").ends_with("done"));
+    CHECK(idle() == 1);
+    g.run([&](gateway::core& c) {
+        CHECK(gateway::take_idle(c.pools[id], 7, false, runtime::boot_now()) == nullptr);
+    });
+    CHECK(idle() == 0);
+    CHECK(g.call("r2").ends_with("done"));
+    CHECK(idle() == 1);
+    // An attempt whose upstream starts again while it connects is not sent there.
+    g.run([&](gateway::core& c) { c.pools.clear(); });
+    g.run_during_connect([&](gateway::core& c) { c.view.upstreams.at(id).born_ms = 9; });
+    CHECK(g.call("r3").ends_with("done"));
+    g.run([&](gateway::core& c) { CHECK(c.pools[id].idle.front()->born_ms == 9); });
+}
