--- a/libs/gateway/src/stream_origin.cpp
+++ b/libs/gateway/src/stream_origin.cpp
@@ -43,11 +43,19 @@
     return !u.models.empty() && (u.accepting || now - u.withdrawn_at < host_retention);
 }
 
-// The first version that a holder of the origin names; empty if none does.
-asio::awaitable<std::string> ask_holders(core& c, const request_state& r) {
+// What the holders of an origin answered.
+struct holders_answer {
+    // The first version that one of them named; empty if none did.
+    std::string software_version;
+    std::vector<std::string> asked;
+    // The number of answers in the last round that said that the origin is not kept.
+    std::size_t without_it = 0;
+};
+
+asio::awaitable<holders_answer> ask_holders(core& c, const request_state& r) {
     if (!c.send_to_sidecar || r.facts.resumes.empty() ||
         r.facts.resumes.size() > resumption::max_request_id_bytes) {
-        co_return "";
+        co_return holders_answer{};
     }
     const std::vector<std::string> holders = resumption::holders_of(
         r.facts.resumes, origin_hosts(c.view, runtime::boot_now()), holders_asked);
@@ -75,7 +83,8 @@
         }
     }
     c.origin_questions.erase(place);
-    co_return question.software_version;
+    co_return holders_answer{question.software_version, holders,
+                             holders.size() - question.unanswered};
 }
 
 // The versions at which a stream of the service that had begun before this call may have begun;
@@ -102,13 +111,24 @@
                                      found->second.versions().end());
 }
 
-void log_taken_up(const request_state& r, std::string_view source, time_point began) {
+std::string to_text(const std::vector<std::string>& hosts) {
+    std::string out;
+    for (const std::string& h : hosts) {
+        out += (out.empty() ? "" : ",") + h;
+    }
+    return out;
+}
+
+void log_taken_up(const request_state& r, std::string_view source, time_point began,
+                  const holders_answer& answer = {}) {
     log_event(severity::info, event::stream_taken_up,
               {{"request", r.facts.id},
                {"resumes", r.facts.resumes},
                {"service", r.service},
                {"version", r.origin.empty() ? "unknown" : *r.origin.begin()},
                {"source", source},
+               {"holders_asked", to_text(answer.asked)},
+               {"holders_without_it", answer.without_it},
                {"took_ms", to_milliseconds(runtime::boot_now() - began)}});
 }
 
@@ -197,12 +217,13 @@
             co_return true;
         }
     }
-    const std::string version = co_await ask_holders(c, r);
-    if (!version.empty()) {
-        r.origin = {version};
+    const holders_answer answer = co_await ask_holders(c, r);
+    const bool found = !answer.software_version.empty();
+    if (found) {
+        r.origin = {answer.software_version};
     }
-    log_taken_up(r, version.empty() ? "none" : "sidecar", began);
-    co_return !version.empty();
+    log_taken_up(r, found ? "sidecar" : "none", began, answer);
+    co_return found;
 }
 
 void record_origin_answer(core& c, const schema::stream_answer& a) {
