Origins of streams move on when hosts that keep them begin to leave

Cause: three sidecars are told of each stream, chosen over all hosts of engines. An upstream that is replaced takes its sidecar with it, and in a release the hosts of the old version, whose streams matter most, leave one after the other. Nobody told others before the last of the three had ended.

Gateways ask the hosts as before, and those that stay.

--- a/libs/gateway/src/stream_origin.cpp
+++ b/libs/gateway/src/stream_origin.cpp
@@ -24,10 +24,12 @@
 
 namespace {
 
-// An origin is sent to the first holders of its id. More are asked, since the hosts that another
-// gateway knew may differ.
+// An origin is sent to the first holders of its id, of hosts that stay if there are enough. More
+// are asked, since the hosts that another gateway knew may differ.
 constexpr std::size_t holders_told = 3;
 constexpr std::size_t holders_asked = 6;
+// Bounds the time that the loop is held and the datagrams that arrive at one sidecar at once.
+constexpr std::size_t max_origins_moved_at_once = 64;
 // Time for the answers; datagrams that may be lost are sent again once.
 constexpr duration answer_timeout = std::chrono::milliseconds(100);
 constexpr int rounds_of_questions = 2;
@@ -39,10 +41,88 @@
 // The caller's time began before the request arrived, and its next attempt arrives later.
 constexpr duration patience_margin = std::chrono::seconds(5);
 
+using host_set = std::set<std::string, std::less<>>;
+
 bool is_engine_host(const dispatch::upstream& u, time_point now) {
     return !u.models.empty() && (u.accepting || now - u.withdrawn_at < host_retention);
 }
 
+bool is_staying(const dispatch::upstream& u, time_point now) {
+    return is_engine_host(u, now) && u.accepting && !u.leaving && u.leaves_at == time_point::max();
+}
+
+// True if `holds` is true for an upstream that was announced at `ip`.
+template <class Predicate>
+bool any_upstream_at(const site_view& v, const std::string& ip, Predicate holds) {
+    const auto ids = v.ids_by_ip.find(ip);
+    return ids != v.ids_by_ip.end() &&
+           std::any_of(ids->second.begin(), ids->second.end(), [&](const std::string& id) {
+               const auto found = v.upstreams.find(id);
+               return found != v.upstreams.end() && holds(found->second);
+           });
+}
+
+template <class Predicate>
+host_set hosts_where(const site_view& v, Predicate holds) {
+    host_set out;
+    for (const auto& [ip, ids] : v.ids_by_ip) {
+        if (any_upstream_at(v, ip, holds)) {
+            out.insert(ip);
+        }
+    }
+    return out;
+}
+
+void add_missing(std::vector<std::string>& to, const std::vector<std::string>& hosts,
+                 std::size_t max_size) {
+    for (const std::string& h : hosts) {
+        if (to.size() < max_size && std::find(to.begin(), to.end(), h) == to.end()) {
+            to.push_back(h);
+        }
+    }
+}
+
+schema::beacon_subscription make_origin_message(const core& c, const std::string& request,
+                                                const resumption::origin& origin, duration ttl) {
+    schema::beacon_subscription message;
+    message.set_gateway(c.settings.name);
+    schema::stream_origin& begun = *message.mutable_begun();
+    begun.set_request(request);
+    begun.set_service(origin.service);
+    begun.set_software_version(origin.software_version);
+    begun.set_ttl_ms(
+        static_cast<std::uint32_t>(to_milliseconds(std::min(ttl, resumption::max_origin_ttl))));
+    return message;
+}
+
+void tell_holders(core& c, const std::string& request, const resumption::origin& origin,
+                  duration ttl, time_point now) {
+    const host_set staying = staying_hosts(c.view, now);
+    std::vector<std::string> holders = resumption::holders_of(request, staying, holders_told);
+    for (const std::string& ip : holders) {
+        resumption::record_told(c.origins_told, ip, request, now + ttl, now);
+    }
+    if (holders.size() < holders_told) {
+        add_missing(holders,
+                    resumption::holders_of(request, origin_hosts(c.view, now), holders_told),
+                    holders_told);
+    }
+    const schema::beacon_subscription message = make_origin_message(c, request, origin, ttl);
+    for (const std::string& ip : holders) {
+        c.send_to_sidecar(ip, message);
+    }
+}
+
+// Hosts that may have been told of the stream.
+std::vector<std::string> holders_to_ask(const site_view& v, const std::string& request,
+                                        time_point now) {
+    std::vector<std::string> out =
+        resumption::holders_of(request, origin_hosts(v, now), holders_asked);
+    add_missing(out, resumption::holders_of(request, staying_hosts(v, now), holders_told),
+                holders_asked + holders_told);
+    return out;
+}
+
 // What the holders of an origin answered.
 struct holders_answer {
     // The first version that one of them named; empty if none did.
@@ -57,8 +137,8 @@
         r.facts.resumes.size() > resumption::max_request_id_bytes) {
         co_return holders_answer{};
     }
-    const std::vector<std::string> holders = resumption::holders_of(
-        r.facts.resumes, origin_hosts(c.view, runtime::boot_now()), holders_asked);
+    const std::vector<std::string> holders =
+        holders_to_ask(c.view, r.facts.resumes, runtime::boot_now());
     origin_question question(c.traffic.context());
     schema::beacon_subscription message;
     message.set_gateway(c.settings.name);
@@ -139,17 +219,11 @@
 }
 
 std::set<std::string, std::less<>> origin_hosts(const site_view& v, time_point now) {
-    std::set<std::string, std::less<>> out;
-    for (const auto& [ip, ids] : v.ids_by_ip) {
-        const bool used = std::any_of(ids.begin(), ids.end(), [&](const std::string& id) {
-            const auto found = v.upstreams.find(id);
-            return found != v.upstreams.end() && is_engine_host(found->second, now);
-        });
-        if (used) {
-            out.insert(ip);
-        }
-    }
-    return out;
+    return hosts_where(v, [now](const dispatch::upstream& u) { return is_engine_host(u, now); });
+}
+
+std::set<std::string, std::less<>> staying_hosts(const site_view& v, time_point now) {
+    return hosts_where(v, [now](const dispatch::upstream& u) { return is_staying(u, now); });
 }
 
 double draw_for(core& c, const request_state& r) {
@@ -170,18 +244,7 @@
         r.facts.id.size() > resumption::max_request_id_bytes) {
         return;
     }
-    schema::beacon_subscription message;
-    message.set_gateway(c.settings.name);
-    schema::stream_origin& begun = *message.mutable_begun();
-    begun.set_request(r.facts.id);
-    begun.set_service(r.service);
-    begun.set_software_version(software_version);
-    begun.set_ttl_ms(static_cast<std::uint32_t>(
-        to_milliseconds(std::min(patience, resumption::max_origin_ttl))));
-    for (const std::string& ip :
-         resumption::holders_of(r.facts.id, origin_hosts(c.view, now), holders_told)) {
-        c.send_to_sidecar(ip, message);
-    }
+    tell_holders(c, r.facts.id, {r.service, software_version}, patience, now);
 }
 
 bool bind_if_sound(core& c, request_state& r, const dispatch::upstream* from, time_point now) {
@@ -226,6 +289,44 @@
     co_return found;
 }
 
+void move_origins(core& c, time_point now) {
+    host_set leaving;
+    for (const auto& [ip, told] : c.origins_told) {
+        if (!any_upstream_at(c.view, ip,
+                             [now](const dispatch::upstream& u) { return is_staying(u, now); })) {
+            leaving.insert(ip);
+        }
+    }
+    const host_set staying = leaving.empty() ? host_set{} : staying_hosts(c.view, now);
+    if (staying.empty() || !c.send_to_sidecar) {
+        return;
+    }
+    host_set before = staying;
+    before.insert(leaving.begin(), leaving.end());
+    std::size_t moved = 0;
+    for (const std::string& ip : leaving) {
+        for (const std::string& request :
+             resumption::take_told(c.origins_told, ip, max_origins_moved_at_once - moved)) {
+            ++moved;
+            const auto kept = c.origins.by_request.find(request);
+            if (kept == c.origins.by_request.end() || kept->second.ambiguous ||
+                kept->second.expires_at <= now) {
+                continue;
+            }
+            c.metrics.count("burdockdeck_stream_origins_moved_total");
+            const duration ttl = kept->second.expires_at - now;
+            const auto message = make_origin_message(c, request, kept->second.began, ttl);
+            const auto told = resumption::holders_of(request, before, holders_told);
+            for (const std::string& to : resumption::holders_of(request, staying, holders_told)) {
+                if (std::find(told.begin(), told.end(), to) == told.end()) {
+                    c.send_to_sidecar(to, message);
+                    resumption::record_told(c.origins_told, to, request, now + ttl, now);
+                }
+            }
+        }
+    }
+}
+
 void record_origin_answer(core& c, const schema::stream_answer& a) {
     for (origin_question* q : c.origin_questions) {
         if (q->number != a.number()) {
--- a/libs/gateway/src/stream_origin.h
+++ b/libs/gateway/src/stream_origin.h
@@ -39,6 +39,8 @@
 // Hosts of engines whose sidecars may keep origins: those in use, and those withdrawn recently,
 // since a sidecar lasts longer than the engine beside it.
 [[nodiscard]] std::set<std::string, std::less<>> origin_hosts(const site_view& v, time_point now);
+// Those of them that are not known to leave.
+[[nodiscard]] std::set<std::string, std::less<>> staying_hosts(const site_view& v, time_point now);
 
 // The number in [0, 1) that picks the service of a route with several. All gateways draw the same
 // one for a stream and for the requests that take it up, so that it goes on at its service.
@@ -58,6 +60,9 @@
 // Binds a stream that its caller takes up to the version at which it began. False if that is not
 // known.
 [[nodiscard]] boost::asio::awaitable<bool> bind_to_origin(core& c, request_state& r);
+// Tells other sidecars of streams whose origins are kept on hosts that leave, a limited number in
+// each call.
+void move_origins(core& c, time_point now);
 // Applies a sidecar's answer to the question that it answers.
 void record_origin_answer(core& c, const schema::stream_answer& a);
 
--- a/libs/gateway/tests/test_stream_origin.cpp
+++ b/libs/gateway/tests/test_stream_origin.cpp
@@ -207,6 +207,72 @@
     }
 }
 
+// Guards against streams of a version that is being replaced whose origins leave with the hosts of
+// its upstreams, one after the other.
+TEST_CASE("the origin of a stream outlives the hosts that were told of it") {
+    const std::vector<std::string> hosts{"10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4",
+                                         "10.0.0.5", "10.0.0.6", "10.0.0.7"};
+    for (int round = 0; round < 10; ++round) {
+        const std::string id = "r" + std::to_string(round);
+        const scripted_upstreams first(1, {{torn_stream_of(0, 2), ending::close}});
+        const scripted_upstreams second(1, {{stream_of(3, 4), ending::close}});
+        sidecars s;
+        gateway_under_test g1(first.ports(), repeatability::streaming);
+        s.connect(g1, hosts);
+        set_software(g1, first.ports(), {"v1"}, {"v1", "v2"});
+        gateway_under_test g2(second.ports(), repeatability::streaming);
+        s.connect(g2, hosts);
+        set_software(g2, second.ports(), {"v1"}, {"v1", "v2"});
+        (void)g1.call(id);
+        // The sidecars of four of the hosts end, those with the origin first.
+        std::vector<std::string> left = resumption::holders_of(id, {hosts.begin(), hosts.end()}, 4);
+        for (const std::string& host : left) {
+            g1.run([&](gateway::core& c) {
+                dispatch::upstream& u = c.view.upstreams.at("engine at " + host);
+                u.accepting = false;
+                u.withdrawn_at = runtime::boot_now();
+                gateway::move_origins(c, runtime::boot_now());
+                s.by_host.erase(host);
+                s.silent.insert(host);
+            });
+        }
+        CHECK(s.told == 7);
+        // The gateway that took the streams up before has no memory of the hosts that left.
+        g2.run([&](gateway::core& c) {
+            for (const std::string& host : left) {
+                c.view.upstreams.erase("engine at " + host);
+            }
+        });
+        CHECK(
+            is_served(g2.call("t" + id, "body", "Resumes: " + id + "\r\nLast-Event: 2\r\n"), 3, 4));
+    }
+}
+
+TEST_CASE("hosts that leave are not told of streams while others stay") {
+    const std::vector<std::string> hosts{"10.0.0.1", "10.0.0.2", "10.0.0.3",
+                                         "10.0.0.4", "10.0.0.5", "10.0.0.6"};
+    const scripted_upstreams upstreams(
+        1, {{torn_stream_of(0, 2), ending::close}, {torn_stream_of(0, 2), ending::close}});
+    sidecars s;
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    s.connect(g, hosts);
+    set_software(g, upstreams.ports(), {"v1"}, {"v1", "v2"});
+    g.run([&](gateway::core& c) {
+        c.view.upstreams.at("engine at 10.0.0.1").leaving = true;
+        c.view.upstreams.at("engine at 10.0.0.2").leaves_at = runtime::boot_now();
+        c.view.upstreams.at("engine at 10.0.0.3").accepting = false;
+        c.view.upstreams.at("engine at 10.0.0.3").withdrawn_at = runtime::boot_now();
+    });
+    (void)g.call("r1");
+    CHECK(s.told == 3);
+    for (const char* host : {"10.0.0.4", "10.0.0.5", "10.0.0.6"}) {
+        CHECK(resumption::find_origin(s.by_host[host], "r1", runtime::boot_now()));
+    }
+    g.run([&](gateway::core& c) { c.view.upstreams.at("engine at 10.0.0.4").leaving = true; });
+    (void)g.call("r2");
+    CHECK(s.told == 6);
+}
+
 TEST_CASE("the gateway that began a stream needs nobody to take it up") {
     const scripted_upstreams upstreams(4, {{torn_stream_of(0, 2), ending::close},
                                            {torn_stream_of(3, 3), ending::close},
--- a/libs/resumption/include/resumption/origins.h
+++ b/libs/resumption/include/resumption/origins.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -37,6 +38,14 @@
     std::deque<std::string> order;
 };
 
+struct told_stream {
+    std::string request;
+    time_point expires_at{};
+};
+
+// The streams whose origins each host was told, in the order in which it was told.
+using told_streams = std::map<std::string, std::deque<told_stream>, std::less<>>;
+
 // The oldest origins are dropped first.
 inline constexpr std::size_t max_kept_origins = 64 * 1024;
 // Longer ids are not kept.
@@ -62,5 +71,12 @@
                    time_point now);
 // Drops expired origins, oldest first, up to the first that has not expired.
 void expire(origin_table& t, time_point now);
+// Records that the host was told of the stream. Drops what has expired, and the oldest streams of
+// the host beyond `max_kept_origins`.
+void record_told(told_streams& t, const std::string& host, const std::string& request,
+                 time_point expires_at, time_point now);
+// Removes up to `count` streams of the host, oldest first, and returns their requests.
+[[nodiscard]] std::vector<std::string> take_told(told_streams& t, const std::string& host,
+                                                 std::size_t count);
 
 }  // namespace burdockdeck::resumption
--- a/libs/resumption/src/origins.cpp
+++ b/libs/resumption/src/origins.cpp
@@ -77,4 +77,30 @@
     }
 }
 
+void record_told(told_streams& t, const std::string& host, const std::string& request,
+                 time_point expires_at, time_point now) {
+    std::deque<told_stream>& told = t[host];
+    while (!told.empty() && (told.front().expires_at <= now || told.size() >= max_kept_origins)) {
+        told.pop_front();
+    }
+    told.push_back({request, expires_at});
+}
+
+std::vector<std::string> take_told(told_streams& t, const std::string& host, std::size_t count) {
+    std::vector<std::string> out;
+    const auto found = t.find(host);
+    if (found == t.end()) {
+        return out;
+    }
+    std::deque<told_stream>& told = found->second;
+    while (!told.empty() && out.size() < count) {
+        out.push_back(std::move(told.front().request));
+        told.pop_front();
+    }
+    if (told.empty()) {
+        t.erase(found);
+    }
+    return out;
+}
+
 }  // namespace burdockdeck::resumption
--- a/libs/resumption/tests/test_origins.cpp
+++ b/libs/resumption/tests/test_origins.cpp
@@ -95,3 +95,26 @@
     CHECK(holders_of("r", hosts_up_to(2), 3).size() == 2);
     CHECK(holders_of("r", {}, 3).empty());
 }
+
+TEST_CASE("the streams that a host was told of are returned once, oldest first") {
+    told_streams t;
+    for (int i = 0; i < 5; ++i) {
+        record_told(t, "a", "r" + std::to_string(i), start + seconds(10), start);
+    }
+    record_told(t, "b", "r7", start + seconds(10), start);
+    CHECK(take_told(t, "a", 2) == std::vector<std::string>{"r0", "r1"});
+    CHECK(take_told(t, "a", 9) == std::vector<std::string>{"r2", "r3", "r4"});
+    CHECK(take_told(t, "a", 9).empty());
+    CHECK(t.size() == 1);
+}
+
+TEST_CASE("what hosts were told takes bounded memory and expires") {
+    told_streams t;
+    for (std::size_t i = 0; i < max_kept_origins + 10; ++i) {
+        record_told(t, "a", "r" + std::to_string(i), start + seconds(10), start);
+    }
+    CHECK(t["a"].size() == max_kept_origins);
+    CHECK(t["a"].front().request == "r10");
+    record_told(t, "a", "later", start + seconds(20), start + seconds(10));
+    CHECK(take_told(t, "a", 9) == std::vector<std::string>{"later"});
+}
