--- a/libs/gateway/src/request.cpp
+++ b/libs/gateway/src/request.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "adapter_load.h"
 #include "dispatch/absence.h"
 #include "dispatch/admission.h"
 #include "drain.h"
@@ -37,13 +38,10 @@
 // the deadline is unlikely.
 constexpr double wait_fraction = 0.6;
 constexpr duration recheck_interval = std::chrono::milliseconds(200);
-// If a sidecar does not answer, no adapter is requested from it for this long.
-constexpr duration unreachable_sidecar_block = std::chrono::milliseconds(800);
 // With a majority alive, control elects a new leader within about two election timeouts.
 constexpr duration retry_after_election = std::chrono::milliseconds(1200);
 // A gateway that has just started receives the deployment within this time if control is reachable.
 constexpr duration first_deployment_timeout = std::chrono::milliseconds(900);
-constexpr duration ensure_timeout = std::chrono::milliseconds(400);
 
 // When the load of the request's model is expected to end, for logs.
 std::string load_expected(const core& c, const request_state& r, time_point now) {
@@ -251,76 +249,6 @@
     co_return std::nullopt;
 }
 
-std::shared_ptr<rpc::sidecar::Stub> sidecar_at(core& c, const std::string& upstream_address) {
-    const auto at = settings::parse_endpoint(upstream_address).value_or(settings::endpoint{});
-    const std::string address =
-        settings::to_text(settings::endpoint{at.ip, c.settings.sidecar_port});
-    auto& stub = c.sidecars[address];
-    if (stub == nullptr) {
-        stub = rpc::sidecar::NewStub(runtime::open_channel(address, c.access));
-    }
-    return stub;
-}
-
-// Excludes an upstream that cannot load the adapter now from requests that need a new adapter.
-// `reply` is null if its sidecar did not answer.
-void record_adapter_block(core& c, const std::string& id, const request_state& r,
-                          const rpc::ensure_adapter_reply* reply) {
-    const auto found = c.view.upstreams.find(id);
-    if (found == c.view.upstreams.end()) {
-        return;
-    }
-    const duration blocked = reply == nullptr ? unreachable_sidecar_block
-                                              : std::chrono::milliseconds(reply->blocked_ms());
-    found->second.adapters_blocked_until = runtime::boot_now() + blocked;
-    if (reply != nullptr && !reply->model_present()) {
-        found->second.models.erase(r.facts.needs.model);
-    }
-}
-
-// Loads the adapter through the sidecar of the chosen upstream. False if that failed or took too
-// long.
-asio::awaitable<bool> ensure_adapter(core& c, request_state& r, dispatch::choice to) {
-    const std::string id = to.to->id;
-    const std::string address = to.to->address;
-    const std::shared_ptr<rpc::sidecar::Stub> stub = sidecar_at(c, address);
-    const auto start = [&stub](auto... arguments) { stub->async()->ensure_adapter(arguments...); };
-    rpc::ensure_adapter_request ensure_request;
-    ensure_request.set_upstream(id);
-    ensure_request.set_model(r.facts.needs.model);
-    ensure_request.set_adapter(r.facts.needs.adapter);
-    ensure_request.set_max_adapters(r.max_adapters);
-    ensure_request.set_timeout_ms(static_cast<std::uint32_t>(to_milliseconds(ensure_timeout)));
-    auto answer = co_await runtime::call_unary<rpc::ensure_adapter_reply>(
-        c.traffic.context(), c.access, std::move(ensure_request), ensure_timeout, start);
-    const bool present = succeeded(answer) && value(answer).present();
-    if (!present) {
-        r.last_failure = succeeded(answer) ? value(answer).message() : error(answer).message;
-        log_event(severity::info, event::adapter_refused,
-                  {{"request", r.facts.id},
-                   {"upstream", id},
-                   {"model", r.facts.needs.model},
-                   {"adapter", r.facts.needs.adapter},
-                   {"reason", r.last_failure}});
-        record_adapter_block(c, id, r, succeeded(answer) ? &value(answer) : nullptr);
-        if (!succeeded(answer)) {
-            c.sidecars.erase(settings::to_text(settings::endpoint{
-                settings::parse_endpoint(address).value_or(settings::endpoint{}).ip,
-                c.settings.sidecar_port}));
-        }
-        co_return false;
-    }
-    const auto found = c.view.upstreams.find(id);
-    if (found != c.view.upstreams.end()) {
-        const auto model = found->second.models.find(r.facts.needs.model);
-        if (model != found->second.models.end()) {
-            model->second.adapters[r.facts.needs.adapter] =
-                runtime::boot_now() + std::chrono::milliseconds(value(answer).lease_ms());
-        }
-    }
-    co_return true;
-}
-
 // How long a request may wait for its turn at the chosen upstream. While others could take it, it
 // goes to them instead.
 duration max_permit_wait(core& c, const request_state& r, const dispatch::upstream& chosen,
