Origins: what hosts were told is bounded over all hosts

The list of streams that each host was told of was bounded for each host, so that with many hosts and long deadlines of callers a gateway's memory would grow with their number. Now 64 Ki streams over all hosts; beyond that the host's oldest makes room. Expired ones are dropped with each round of maintenance, also for hosts that are told nothing more.

Test: resumption.origins, "what hosts were told takes bounded memory and expires"; the former test of that name asked for the bound of one host and did not compile with the new lists.

--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -291,6 +291,7 @@
                 close_expired(pool, now);
             }
             resumption::expire(c.origins, now);
+            resumption::expire(c.origins_told, now);
             move_origins(c, now);
             c.sessions.remove_if([](const std::weak_ptr<session>& s) { return s.expired(); });
             if (++maintenance_runs % maintenance_runs_per_report == 0 || c.demand_report_due) {
--- a/libs/gateway/src/stream_origin.cpp
+++ b/libs/gateway/src/stream_origin.cpp
@@ -291,7 +291,7 @@
 
 void move_origins(core& c, time_point now) {
     host_set leaving;
-    for (const auto& [ip, told] : c.origins_told) {
+    for (const auto& [ip, told] : c.origins_told.by_host) {
         if (!any_upstream_at(c.view, ip,
                              [now](const dispatch::upstream& u) { return is_staying(u, now); })) {
             leaving.insert(ip);
--- a/libs/resumption/include/resumption/origins.h
+++ b/libs/resumption/include/resumption/origins.h
@@ -44,10 +44,16 @@
 };
 
 // The streams whose origins each host was told, in the order in which it was told.
-using told_streams = std::map<std::string, std::deque<told_stream>, std::less<>>;
+// Invariants: `size` is the sum over the hosts; no list is empty.
+struct told_streams {
+    std::map<std::string, std::deque<told_stream>, std::less<>> by_host;
+    std::size_t size = 0;
+};
 
 // The oldest origins are dropped first.
 inline constexpr std::size_t max_kept_origins = 64 * 1024;
+// Over all hosts.
+inline constexpr std::size_t max_told_streams = 64 * 1024;
 // Longer ids are not kept.
 inline constexpr std::size_t max_request_id_bytes = 128;
 // Streams that may be resumed for longer are kept for this long.
@@ -71,10 +77,12 @@
                    time_point now);
 // Drops expired origins, oldest first, up to the first that has not expired.
 void expire(origin_table& t, time_point now);
-// Records that the host was told of the stream. Drops what has expired, and the oldest streams of
-// the host beyond `max_kept_origins`.
+// Records that the host was told of the stream. Drops what has expired of the host. Beyond
+// `max_told_streams` the host's oldest stream makes room; if it has none, nothing is recorded.
 void record_told(told_streams& t, const std::string& host, const std::string& request,
                  time_point expires_at, time_point now);
+// Drops what has expired of all hosts.
+void expire(told_streams& t, time_point now);
 // Removes up to `count` streams of the host, oldest first, and returns their requests.
 [[nodiscard]] std::vector<std::string> take_told(told_streams& t, const std::string& host,
                                                  std::size_t count);
--- a/libs/resumption/src/origins.cpp
+++ b/libs/resumption/src/origins.cpp
@@ -17,6 +17,13 @@
     t.order.pop_front();
 }
 
+void drop_expired(told_streams& t, std::deque<told_stream>& told, time_point now) {
+    while (!told.empty() && told.front().expires_at <= now) {
+        told.pop_front();
+        --t.size;
+    }
+}
+
 }  // namespace
 
 std::optional<origin> find_origin(const origin_table& t, const std::string& request,
@@ -79,26 +86,42 @@
 
 void record_told(told_streams& t, const std::string& host, const std::string& request,
                  time_point expires_at, time_point now) {
-    std::deque<told_stream>& told = t[host];
-    while (!told.empty() && (told.front().expires_at <= now || told.size() >= max_kept_origins)) {
+    std::deque<told_stream>& told = t.by_host[host];
+    drop_expired(t, told, now);
+    if (t.size >= max_told_streams && !told.empty()) {
         told.pop_front();
+        --t.size;
+    }
+    if (t.size < max_told_streams) {
+        told.push_back({request, expires_at});
+        ++t.size;
+    }
+    if (told.empty()) {
+        t.by_host.erase(host);
+    }
+}
+
+void expire(told_streams& t, time_point now) {
+    for (auto& [host, told] : t.by_host) {
+        drop_expired(t, told, now);
     }
-    told.push_back({request, expires_at});
+    std::erase_if(t.by_host, [](const auto& entry) { return entry.second.empty(); });
 }
 
 std::vector<std::string> take_told(told_streams& t, const std::string& host, std::size_t count) {
     std::vector<std::string> out;
-    const auto found = t.find(host);
-    if (found == t.end()) {
+    const auto found = t.by_host.find(host);
+    if (found == t.by_host.end()) {
         return out;
     }
     std::deque<told_stream>& told = found->second;
     while (!told.empty() && out.size() < count) {
         out.push_back(std::move(told.front().request));
         told.pop_front();
+        --t.size;
     }
     if (told.empty()) {
-        t.erase(found);
+        t.by_host.erase(found);
     }
     return out;
 }
--- a/libs/resumption/tests/test_origins.cpp
+++ b/libs/resumption/tests/test_origins.cpp
@@ -105,16 +105,26 @@
     CHECK(take_told(t, "a", 2) == std::vector<std::string>{"r0", "r1"});
     CHECK(take_told(t, "a", 9) == std::vector<std::string>{"r2", "r3", "r4"});
     CHECK(take_told(t, "a", 9).empty());
-    CHECK(t.size() == 1);
+    CHECK(t.size == 1);
+    CHECK(t.by_host.size() == 1);
 }
 
+// Guards against lists that grow with the number of hosts.
 TEST_CASE("what hosts were told takes bounded memory and expires") {
     told_streams t;
-    for (std::size_t i = 0; i < max_kept_origins + 10; ++i) {
-        record_told(t, "a", "r" + std::to_string(i), start + seconds(10), start);
+    for (std::size_t i = 0; i < max_told_streams + 10; ++i) {
+        record_told(t, i % 2 == 0 ? "a" : "b", "r" + std::to_string(i), start + seconds(10), start);
     }
-    CHECK(t["a"].size() == max_kept_origins);
-    CHECK(t["a"].front().request == "r10");
+    CHECK(t.size == max_told_streams);
+    CHECK(t.by_host["a"].size() + t.by_host["b"].size() == max_told_streams);
+    CHECK(t.by_host["a"].front().request == "r10");
+    record_told(t, "c", "full", start + seconds(10), start);
+    CHECK_FALSE(t.by_host.contains("c"));
     record_told(t, "a", "later", start + seconds(20), start + seconds(10));
+    CHECK(t.size == 1 + max_told_streams / 2);
+    expire(t, start + seconds(10));
+    CHECK(t.size == 1);
     CHECK(take_told(t, "a", 9) == std::vector<std::string>{"later"});
+    CHECK(t.size == 0);
+    CHECK(t.by_host.empty());
 }
