Origins: a gateway remembers whom it told, so that each stream keeps three holders

Cause: when a host began to leave, the gateway told those hosts that rank first now and did not before. Hosts that had joined since the stream began counted as told, though nobody had told them; a release starts new hosts first. Two hosts that left together were replaced twice, and hosts that were told while too few stayed were not followed.

Now a gateway keeps, for each stream that it began, the hosts that it told and that have not begun to leave. When one does, it tells further hosts until three were told. One ranking a stream instead of two, no duplicates, and the metric counts streams for which somebody was told. The lists hold 16 Ki streams, whatever the number of hosts, and drop the oldest.

--- a/libs/gateway/src/core.h
+++ b/libs/gateway/src/core.h
@@ -113,7 +113,7 @@
     std::function<void(const std::string& ip, const schema::beacon_subscription&)> send_to_sidecar;
     // Origins of the streams that this gateway began.
     resumption::origin_table origins;
-    // The hosts that keep copies of them and are expected to stay.
+    // The hosts that were told of them.
     resumption::told_streams origins_told;
     // Requests that wait for sidecars' answers about origins.
     std::list<origin_question*> origin_questions;
--- a/libs/gateway/src/stream_origin.cpp
+++ b/libs/gateway/src/stream_origin.cpp
@@ -24,11 +24,11 @@
 
 namespace {
 
-// An origin is sent to the first holders of its id, of hosts that stay if there are enough. More
-// are asked, since the hosts that another gateway knew may differ.
+// An origin is sent to the hosts that come first for its id. More are asked, since the hosts that
+// another gateway knew may differ.
 constexpr std::size_t holders_told = 3;
 constexpr std::size_t holders_asked = 6;
-// Bounds the time that the loop is held and the datagrams that arrive at one sidecar at once.
+// Limits the time that the loop is held, and the datagrams that arrive at one sidecar together.
 constexpr std::size_t max_origins_moved_at_once = 64;
 // Time for the answers; datagrams that may be lost are sent again once.
 constexpr duration answer_timeout = std::chrono::milliseconds(100);
@@ -97,11 +97,8 @@
 
 void tell_holders(core& c, const std::string& request, const resumption::origin& origin,
                   duration ttl, time_point now) {
-    const host_set staying = staying_hosts(c.view, now);
-    std::vector<std::string> holders = resumption::holders_of(request, staying, holders_told);
-    for (const std::string& ip : holders) {
-        resumption::record_told(c.origins_told, ip, request, now + ttl, now);
-    }
+    std::vector<std::string> holders =
+        resumption::holders_of(request, staying_hosts(c.view, now), holders_told);
     if (holders.size() < holders_told) {
         add_missing(holders,
                     resumption::holders_of(request, origin_hosts(c.view, now), holders_told),
@@ -111,6 +108,32 @@
     for (const std::string& ip : holders) {
         c.send_to_sidecar(ip, message);
     }
+    resumption::record_told(c.origins_told, request, holders, ttl, now);
+}
+
+// Tells further hosts of a stream until three that stay were told. False if nobody was told.
+bool tell_further_holders(core& c, const std::string& request, const host_set& staying,
+                          time_point now) {
+    const auto kept = c.origins.by_request.find(request);
+    if (kept == c.origins.by_request.end() || kept->second.ambiguous ||
+        kept->second.expires_at <= now) {
+        return false;
+    }
+    const host_set& told = c.origins_told.by_request.at(request).hosts;
+    std::vector<std::string> further;
+    for (const std::string& ip : resumption::holders_of(request, staying, holders_told)) {
+        if (told.size() + further.size() < holders_told && !told.contains(ip)) {
+            further.push_back(ip);
+        }
+    }
+    const duration ttl = kept->second.expires_at - now;
+    const schema::beacon_subscription message =
+        make_origin_message(c, request, kept->second.began, ttl);
+    for (const std::string& ip : further) {
+        c.send_to_sidecar(ip, message);
+    }
+    resumption::record_told(c.origins_told, request, further, ttl, now);
+    return !further.empty();
 }
 
 // Hosts that may have been told of the stream.
@@ -301,27 +324,13 @@
     if (staying.empty() || !c.send_to_sidecar) {
         return;
     }
-    host_set before = staying;
-    before.insert(leaving.begin(), leaving.end());
-    std::size_t moved = 0;
+    std::size_t taken = 0;
     for (const std::string& ip : leaving) {
         for (const std::string& request :
-             resumption::take_told(c.origins_told, ip, max_origins_moved_at_once - moved)) {
-            ++moved;
-            const auto kept = c.origins.by_request.find(request);
-            if (kept == c.origins.by_request.end() || kept->second.ambiguous ||
-                kept->second.expires_at <= now) {
-                continue;
-            }
-            c.metrics.count("burdockdeck_stream_origins_moved_total");
-            const duration ttl = kept->second.expires_at - now;
-            const auto message = make_origin_message(c, request, kept->second.began, ttl);
-            const auto told = resumption::holders_of(request, before, holders_told);
-            for (const std::string& to : resumption::holders_of(request, staying, holders_told)) {
-                if (std::find(told.begin(), told.end(), to) == told.end()) {
-                    c.send_to_sidecar(to, message);
-                    resumption::record_told(c.origins_told, to, request, now + ttl, now);
-                }
+             resumption::take_told(c.origins_told, ip, max_origins_moved_at_once - taken)) {
+            ++taken;
+            if (tell_further_holders(c, request, staying, now)) {
+                c.metrics.count("burdockdeck_stream_origins_moved_total");
             }
         }
     }
--- a/libs/gateway/src/stream_origin.h
+++ b/libs/gateway/src/stream_origin.h
@@ -60,8 +60,8 @@
 // Binds a stream that its caller takes up to the version at which it began. False if that is not
 // known.
 [[nodiscard]] boost::asio::awaitable<bool> bind_to_origin(core& c, request_state& r);
-// Tells other sidecars of streams whose origins are kept on hosts that leave, a limited number in
-// each call.
+// Tells further sidecars of the streams whose origins are kept on hosts that leave, for a limited
+// number of streams in each call.
 void move_origins(core& c, time_point now);
 // Applies a sidecar's answer to the question that it answers.
 void record_origin_answer(core& c, const schema::stream_answer& a);
--- a/libs/resumption/include/resumption/origins.h
+++ b/libs/resumption/include/resumption/origins.h
@@ -39,21 +39,24 @@
 };
 
 struct told_stream {
-    std::string request;
+    // Those that were told and have not begun to leave since.
+    std::set<std::string, std::less<>> hosts;
     time_point expires_at{};
 };
 
-// The streams whose origins each host was told, in the order in which it was told.
-// Invariants: `size` is the sum over the hosts; no list is empty.
+// The hosts that were told of each stream that may be resumed.
+// Invariants: `by_host` holds the same pairs as `by_request`, without empty sets; `order` holds
+// each request of `by_request` once, in the order in which they were recorded.
 struct told_streams {
-    std::map<std::string, std::deque<told_stream>, std::less<>> by_host;
-    std::size_t size = 0;
+    std::unordered_map<std::string, told_stream> by_request;
+    std::map<std::string, std::set<std::string>, std::less<>> by_host;
+    std::deque<std::string> order;
 };
 
 // The oldest origins are dropped first.
 inline constexpr std::size_t max_kept_origins = 64 * 1024;
-// Over all hosts.
-inline constexpr std::size_t max_told_streams = 64 * 1024;
+// The oldest ones are dropped first; they do not move when their hosts leave.
+inline constexpr std::size_t max_told_streams = 16 * 1024;
 // Longer ids are not kept.
 inline constexpr std::size_t max_request_id_bytes = 128;
 // Streams that may be resumed for longer are kept for this long.
@@ -77,13 +80,12 @@
                    time_point now);
 // Drops expired origins, oldest first, up to the first that has not expired.
 void expire(origin_table& t, time_point now);
-// Records that the host was told of the stream. Drops what has expired of the host. Beyond
-// `max_told_streams` the host's oldest stream makes room; if it has none, nothing is recorded.
-void record_told(told_streams& t, const std::string& host, const std::string& request,
-                 time_point expires_at, time_point now);
-// Drops what has expired of all hosts.
+// Records that the hosts were told of a stream that may be resumed for `ttl`.
+void record_told(told_streams& t, const std::string& request, const std::vector<std::string>& hosts,
+                 duration ttl, time_point now);
+// Drops expired streams, oldest first, up to the first that has not expired.
 void expire(told_streams& t, time_point now);
-// Removes up to `count` streams of the host, oldest first, and returns their requests.
+// Removes the host from up to `count` of its streams and returns their requests.
 [[nodiscard]] std::vector<std::string> take_told(told_streams& t, const std::string& host,
                                                  std::size_t count);
 
--- a/libs/resumption/src/origins.cpp
+++ b/libs/resumption/src/origins.cpp
@@ -17,11 +17,17 @@
     t.order.pop_front();
 }
 
-void drop_expired(told_streams& t, std::deque<told_stream>& told, time_point now) {
-    while (!told.empty() && told.front().expires_at <= now) {
-        told.pop_front();
-        --t.size;
-    }
+void drop_oldest(told_streams& t) {
+    const auto oldest = t.by_request.find(t.order.front());
+    for (const std::string& host : oldest->second.hosts) {
+        const auto of_host = t.by_host.find(host);
+        of_host->second.erase(oldest->first);
+        if (of_host->second.empty()) {
+            t.by_host.erase(of_host);
+        }
+    }
+    t.by_request.erase(oldest);
+    t.order.pop_front();
 }
 
 }  // namespace
@@ -84,28 +90,27 @@
     }
 }
 
-void record_told(told_streams& t, const std::string& host, const std::string& request,
-                 time_point expires_at, time_point now) {
-    std::deque<told_stream>& told = t.by_host[host];
-    drop_expired(t, told, now);
-    if (t.size >= max_told_streams && !told.empty()) {
-        told.pop_front();
-        --t.size;
+void record_told(told_streams& t, const std::string& request, const std::vector<std::string>& hosts,
+                 duration ttl, time_point now) {
+    const time_point expires_at = now + std::min(ttl, max_origin_ttl);
+    const auto [place, added] = t.by_request.try_emplace(request);
+    place->second.expires_at = std::max(place->second.expires_at, expires_at);
+    for (const std::string& host : hosts) {
+        place->second.hosts.insert(host);
+        t.by_host[host].insert(request);
     }
-    if (t.size < max_told_streams) {
-        told.push_back({request, expires_at});
-        ++t.size;
+    if (added) {
+        t.order.push_back(request);
     }
-    if (told.empty()) {
-        t.by_host.erase(host);
+    if (t.order.size() > max_told_streams) {
+        drop_oldest(t);
     }
 }
 
 void expire(told_streams& t, time_point now) {
-    for (auto& [host, told] : t.by_host) {
-        drop_expired(t, told, now);
+    while (!t.order.empty() && t.by_request.at(t.order.front()).expires_at <= now) {
+        drop_oldest(t);
     }
-    std::erase_if(t.by_host, [](const auto& entry) { return entry.second.empty(); });
 }
 
 std::vector<std::string> take_told(told_streams& t, const std::string& host, std::size_t count) {
@@ -114,13 +119,12 @@
     if (found == t.by_host.end()) {
         return out;
     }
-    std::deque<told_stream>& told = found->second;
-    while (!told.empty() && out.size() < count) {
-        out.push_back(std::move(told.front().request));
-        told.pop_front();
-        --t.size;
+    std::set<std::string>& requests = found->second;
+    while (!requests.empty() && out.size() < count) {
+        out.push_back(std::move(requests.extract(requests.begin()).value()));
+        t.by_request.at(out.back()).hosts.erase(host);
     }
-    if (told.empty()) {
+    if (requests.empty()) {
         t.by_host.erase(found);
     }
     return out;
