review: scripts name their record, and a fault of a script is no verdict

Each case names its own record.txt. An exception in a script ended it with 1, like a broken rule; it ends with 2 now.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -11,7 +11,7 @@
 from harness import BROKEN, HELD, CannotRun, Connection, ERRORS, Replica, Site, call, configuration, run_case  # noqa: E402
 from sites import PETA_DECK  # noqa: E402
 
-FOLDER = os.path.dirname(os.path.abspath(__file__))
+RECORD = os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt")
 REPLICAS = 3
 BEFORE_S, DOWN_S, FOREIGN_AFTER_S, MEASURED_S = 8.0, 0.9, 3.0, 20.0
 RECOVERY_S = PETA_DECK["recovery_s"]
@@ -60,7 +60,7 @@
 
 
 async def case(trouble):
-    site = Site(FOLDER, PETA_DECK, disks=3, others=0)
+    site = Site(RECORD, PETA_DECK, disks=3, others=0)
     try:
         replicas = [Replica(site, "counter", n) for n in range(REPLICAS)]
         site.start()
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 ERRORS = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError, IndexError)
@@ -183,19 +184,19 @@
 
 
 class Site:
-    """A small deployment: machines with a disk, which run gateway and control, and machines without, which run a
+    """A small deployment that writes what is sent, answered and run to the file `record`: machines with a disk, which run gateway and control, and machines without, which run a
     gateway only; `bounds` are those of the site that the case names."""
 
-    def __init__(self, folder, bounds, disks=3, others=0, memory_mb=260, heartbeat_ms=1200):
+    def __init__(self, record, bounds, disks=3, others=0, memory_mb=260, heartbeat_ms=1200):
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.deploy = tomllib.load(file)
         for role in self.deploy["roles"].values():
             if not os.access(os.path.join(ROOT, role["run"].split()[0]), os.X_OK):
                 raise CannotRun("the programs are not built: " + role["run"].split()[0])
-        self.case_folder, self.bounds, self.heartbeat_s = folder, bounds, heartbeat_ms / 1000
+        self.bounds, self.heartbeat_s = bounds, heartbeat_ms / 1000
         self.folder = tempfile.mkdtemp(prefix="burdockdeck-review-")
         self.net, self.guard = reserve_network()
-        self.record_file = open(os.path.join(folder, "record.txt"), "w")
+        self.record_file = open(record, "w")
         self.began_at = time.monotonic()
         ips = [f"{self.net}.{i + 1}" for i in range(disks + others)]
         ports = {"front": 8149, "ready": 8141, "control": 8144}
@@ -539,6 +540,9 @@
     except CannotRun as reason:
         print(f"the case could not run: {reason}")
         verdict = COULD_NOT_RUN
+    except Exception:  # A fault of the case itself is no verdict; Python would exit with 1, too.
+        traceback.print_exc()
+        verdict = COULD_NOT_RUN
     sys.stdout.flush()
     # The stand-ins' open connections are dropped without their tasks' last words.
     os._exit(verdict)
