registry: only announcements of deployed services own ids and addresses

Callers saw 503 for every request of a service, for as long as its upstreams did not start again, after one announcement for each of them by another writer: a service that no deployment names, at their addresses or under their ids.

Cause: what an announcement means was decided once, when it was merged, and its service was no part of that. The latest start time took an address, older incarnations there counted as gone, and nothing they announced afterwards could change that. Gateways made the same decision in a copy of it.

Ruled out: entries with an empty service or another state (400), the final fault, routing. A check when the call arrives would refuse upstreams that come up before their service is declared.

Now the registry keeps announcements by id and service and derives the active ones from the services of the deployment that the process knows. Gateways use the same registry, so that the second copy is gone. Why it works: an entry that is not active has no effect on others, at whichever process and in whichever order entries and deployments arrive; one that was displaced comes back by announcing itself. What is not active is bounded.

Tests changed: those of the registry and of gateways name the deployed services first, since nothing is active without them; entries that were refused or marked gone because the address is another's are stored and not active, which the tests check in place of the state. A second one of the same start becomes active when the first leaves, not with its own next announcement.

--- a/libs/control/src/planner.cpp
+++ b/libs/control/src/planner.cpp
@@ -31,24 +31,6 @@
 // requests.
 constexpr int max_missed_announcements = 4;
 
-std::uint64_t version_in_force(const instance& i) {
-    return i.raft->state().deployment().version();
-}
-
-void refresh_deployment(instance& i) {
-    if (i.site->current.version == version_in_force(i)) {
-        return;
-    }
-    const runtime::timed_task timed("deployment");
-    auto decoded = i.site->protocol.decode_deployment(i.raft->state().deployment().source());
-    if (succeeded(decoded)) {
-        i.site->current = std::move(value(decoded));
-    } else {
-        log_event(severity::error, event::deployment_refused,
-                  {{"version", version_in_force(i)}, {"reason", error(decoded).message}});
-    }
-}
-
 placement::move_settings settings_for(const instance& i, const deployment::engine_spec& spec) {
     placement::move_settings s;
     set_store_rate(s, spec.store_loads_per_s, i.settings.site->store_window);
@@ -180,10 +162,10 @@
         // node process waiting messages first.
         const bool stalled = now - last_round > 4 * plan_interval;
         last_round = now;
+        refresh_deployment(i, now);
         if (!i.raft->is_leader() || stalled) {
             continue;
         }
-        refresh_deployment(i);
         std::erase_if(i.site->pending_unloads, [now](const auto& p) { return p.second < now; });
         update_demand(*i.site, now);
         std::map<std::string, time_point> expected;
--- a/libs/control/src/server.cpp
+++ b/libs/control/src/server.cpp
@@ -116,6 +116,7 @@
     i.raft->on_table_changed = [&i] {
         update_watchers(i);
         if (i.site) {
+            refresh_deployment(i, runtime::boot_now());
             update_site_watchers(i);
         }
     };
--- a/libs/control/src/service_fleets.cpp
+++ b/libs/control/src/service_fleets.cpp
@@ -170,8 +170,8 @@
     service_fleets f;
     const double weights_capacity_mb = weights_capacity_of(service.engine);
     std::vector<dispatch::engine_location> locations;
-    for (const auto& [id, e] : site.upstreams.upstreams) {
-        if (e.latest.service() == service.name && e.latest.state() != schema::announced_gone) {
+    for (const auto& [key, e] : site.upstreams.upstreams) {
+        if (e.active && key.service == service.name && e.latest.state() != schema::announced_gone) {
             f.all.engines.push_back(
                 engine_of(e, weights_capacity_mb, now - e.last_seen < max_silence));
             if (e.latest.state() == schema::announced_ready) {
--- a/libs/control/src/site.cpp
+++ b/libs/control/src/site.cpp
@@ -39,6 +39,12 @@
 constexpr duration departed_retention = std::chrono::seconds(60);
 // Upstreams that have stopped announcing themselves are dropped after this time.
 constexpr duration silent_retention = std::chrono::seconds(60);
+// Announcements of services that the deployment does not name are dropped after this many intervals
+// without another one, and not before this time: announcements may be seconds late.
+constexpr int max_missed_undeployed = 4;
+constexpr duration min_undeployed_retention = std::chrono::seconds(10);
+// Shortest time between two decodings of the deployment.
+constexpr duration decode_interval = std::chrono::milliseconds(200);
 
 rpc::site_update update_for(instance& i, const site_watcher& w, gateway_watch& watch) {
     rpc::site_update update;
@@ -188,8 +194,11 @@
 }
 
 void expire_upstreams(instance& i, time_point now) {
-    for (const std::string& id :
-         registry::expire(i.site->upstreams, now, departed_retention, silent_retention)) {
+    const duration undeployed_retention = std::max<duration>(
+        min_undeployed_retention, i.settings.site->announce_interval * max_missed_undeployed);
+    const registry::retention_times times{departed_retention, undeployed_retention,
+                                          silent_retention};
+    for (const std::string& id : registry::expire(i.site->upstreams, now, times)) {
         log_event(severity::info, event::upstream_dropped, {{"upstream", id}});
     }
 }
@@ -260,6 +269,29 @@
     }
 }
 
+void log_upstream(const schema::upstream_announcement& a) {
+    log_event(severity::info, event::upstream_changed,
+              {{"upstream", a.id()},
+               {"service", a.service()},
+               {"address", a.address()},
+               {"born_ms", a.born_ms()},
+               {"sequence", a.sequence()},
+               {"state", a.state()},
+               {"models", a.models_size()}});
+}
+
+// An entry that stays inactive is logged when it appears: repetitions may be many.
+void log_inactive(const instance& i, const schema::upstream_announcement& a, bool known) {
+    const bool deployed = registry::may_be_deployed(i.site->upstreams, a.service());
+    log_event(known ? severity::debug : severity::info, event::announcement_refused,
+              {{"upstream", a.id()},
+               {"service", a.service()},
+               {"address", a.address()},
+               {"born_ms", a.born_ms()},
+               {"reason", deployed ? "id or address belongs to another upstream"
+                                   : "the deployment does not name the service"}});
+}
+
 void send_changes(instance& i, registry::merge_result merged) {
     if (merged == registry::merge_result::changed) {
         i.site->urgent_changes = i.site->upstreams.changes;
@@ -315,8 +347,39 @@
     }
 }
 
+void refresh_deployment(instance& i, time_point now) {
+    const schema::deployment_record& newest = i.raft->state().deployment();
+    if (i.site->current.version == newest.version() || now - i.site->decoded_at < decode_interval) {
+        return;
+    }
+    i.site->decoded_at = now;
+    const runtime::timed_task timed("deployment");
+    auto decoded = i.site->protocol.decode_deployment(newest.source());
+    if (!succeeded(decoded)) {
+        log_event(severity::error, event::deployment_refused,
+                  {{"version", newest.version()}, {"reason", error(decoded).message}});
+        return;
+    }
+    i.site->current = std::move(value(decoded));
+    std::set<std::string, std::less<>> services;
+    for (const deployment::service_spec& s : i.site->current.services) {
+        services.insert(s.name);
+    }
+    for (const schema::upstream_announcement& a :
+         registry::set_services(i.site->upstreams, std::move(services))) {
+        log_upstream(a);
+        add_software(i, a);
+        i.site->to_relay.push_back(a);
+    }
+    if (!i.site->to_relay.empty()) {
+        flush_relay(i);
+        send_changes(i, registry::merge_result::changed);
+    }
+}
+
 void merge_announcement(instance& i, const schema::upstream_announcement& a, bool relayed) {
     const runtime::timed_task timed("announcement");
+    const bool known = find_entry(i.site->upstreams, {a.id(), a.service()}) != nullptr;
     const registry::merge_result merged =
         registry::merge(i.site->upstreams, a, runtime::boot_now());
     if (merged == registry::merge_result::outdated) {
@@ -324,14 +387,12 @@
                   {{"upstream", a.id()}, {"sequence", a.sequence()}, {"reason", "outdated"}});
         return;
     }
+    if (merged == registry::merge_result::inactive) {
+        log_inactive(i, a, known);
+        return;
+    }
     if (merged == registry::merge_result::changed || merged == registry::merge_result::updated) {
-        log_event(severity::info, event::upstream_changed,
-                  {{"upstream", a.id()},
-                   {"address", a.address()},
-                   {"born_ms", a.born_ms()},
-                   {"sequence", a.sequence()},
-                   {"state", a.state()},
-                   {"models", a.models_size()}});
+        log_upstream(a);
         send_changes(i, merged);
         add_software(i, a);
     }
@@ -349,21 +410,24 @@
 
 void withdraw_leaving(instance& i, const rpc::demand_report& report) {
     for (const rpc::leaving_upstream& l : report.leaving()) {
-        if (const auto a = registry::withdrawal_of(i.site->upstreams, l.id(), l.born_ms())) {
+        for (const schema::upstream_announcement& a :
+             registry::withdrawals_of(i.site->upstreams, l.id(), l.born_ms())) {
             log_event(severity::info, event::upstream_notice,
                       {{"upstream", l.id()},
                        {"notice", "leaving"},
                        {"born_ms", l.born_ms()},
                        {"source", report.gateway()}});
-            merge_announcement(i, *a, false);
+            merge_announcement(i, a, false);
         }
     }
 }
 
 rpc::announcement_relay all_announcements(const instance& i) {
     rpc::announcement_relay all;
-    for (const auto& [id, e] : i.site->upstreams.upstreams) {
-        *all.add_announcements() = e.latest;
+    for (const auto& [key, e] : i.site->upstreams.upstreams) {
+        if (registry::may_be_deployed(i.site->upstreams, key.service)) {
+            *all.add_announcements() = e.latest;
+        }
     }
     return all;
 }
--- a/libs/control/src/site.h
+++ b/libs/control/src/site.h
@@ -93,8 +93,9 @@
     // The latest report of each gateway, by name.
     std::map<std::string, demand_record> demand;
     deployment_history history;
-    // The deployment in force, decoded.
+    // The deployment in force, decoded, and when that was done last.
     deployment::site current;
+    time_point decoded_at{};
 
     // Members that are about to stop, as they told this instance while it led.
     departures leaving;
@@ -125,6 +126,10 @@
 void start_site(instance& i);
 void end_site_watches(instance& i);
 
+// Decodes the deployment in force if it has changed, unless that was done a moment ago, and tells
+// others of the upstreams that it makes active.
+void refresh_deployment(instance& i, time_point now);
+
 // --- Announcements
 
 // Merges an announcement into the registry. Unless `relayed`, passes it on to the other instances:
@@ -132,7 +137,7 @@
 void merge_announcement(instance& i, const schema::upstream_announcement& a, bool relayed);
 // Treats the upstreams that a gateway reports as leaving as draining.
 void withdraw_leaving(instance& i, const rpc::demand_report& report);
-// All announcements in the registry, including those of upstreams that have left.
+// Announcements that other instances may need, including those of upstreams that have left.
 [[nodiscard]] rpc::announcement_relay all_announcements(const instance& i);
 
 // --- Watches
--- a/libs/control/src/site_http.cpp
+++ b/libs/control/src/site_http.cpp
@@ -231,8 +231,8 @@
 
 // The call carries only the upstream's id; the other fields are those of its latest announcement.
 void leave(instance& i, const std::string& id, const answer_callback& done) {
-    const auto found = i.site->upstreams.upstreams.find(id);
-    if (found == i.site->upstreams.upstreams.end()) {
+    const auto departed = registry::departures_of(i.site->upstreams, id);
+    if (departed.empty()) {
         // Other instances may have it registered; the refusal makes the upstream try another one.
         log_event(
             severity::info, event::announcement_refused,
@@ -240,9 +240,9 @@
         refuse(i, 503, "this upstream is not registered at this instance", done);
         return;
     }
-    schema::upstream_announcement gone = found->second.latest;
-    gone.set_state(schema::announced_gone);
-    merge_announcement(i, gone, false);
+    for (const schema::upstream_announcement& a : departed) {
+        merge_announcement(i, a, false);
+    }
     done(response_of(200, "{}"));
 }
 
--- a/libs/control/src/software.cpp
+++ b/libs/control/src/software.cpp
@@ -25,10 +25,9 @@
 }
 
 // True if the version of the announced upstream is to be added.
-bool lacks(const schema::catalog_state& state, const deployment::site& deployed,
-           const schema::upstream_announcement& a) {
-    if (a.state() != schema::announced_ready || a.software_version().empty() ||
-        deployment::find_service(deployed, a.service()) == nullptr) {
+bool lacks(const schema::catalog_state& state, const registry::upstream_entry& e) {
+    const schema::upstream_announcement& a = e.latest;
+    if (!e.active || a.state() != schema::announced_ready || a.software_version().empty()) {
         return false;
     }
     const auto found = state.software().find(a.service());
@@ -77,7 +76,6 @@
 }
 
 std::vector<schema::software_version_command> review_software(const schema::catalog_state& state,
-                                                              const deployment::site& deployed,
                                                               const registry::registry& upstreams,
                                                               software_review& review,
                                                               time_point now) {
@@ -86,12 +84,12 @@
     }
     review.reviewed_at = now;
     std::set<software_key> added;
-    for (const auto& [id, e] : upstreams.upstreams) {
+    for (const auto& [announced, e] : upstreams.upstreams) {
         const schema::upstream_announcement& a = e.latest;
         const software_key key{a.service(), a.software_version()};
         if (a.state() != schema::announced_gone && is_listed(state, key)) {
             review.seen[key] = now;
-        } else if (lacks(state, deployed, a)) {
+        } else if (lacks(state, e)) {
             added.insert(key);
         }
     }
@@ -117,14 +115,15 @@
         i.site->software.seen.clear();
         return;
     }
-    for (const schema::software_version_command& change : review_software(
-             i.raft->state(), i.site->current, i.site->upstreams, i.site->software, now)) {
+    for (const schema::software_version_command& change :
+         review_software(i.raft->state(), i.site->upstreams, i.site->software, now)) {
         propose(i, change);
     }
 }
 
 void add_software(instance& i, const schema::upstream_announcement& a) {
-    if (i.raft->is_leader() && lacks(i.raft->state(), i.site->current, a)) {
+    const registry::upstream_entry* e = find_entry(i.site->upstreams, {a.id(), a.service()});
+    if (i.raft->is_leader() && e != nullptr && lacks(i.raft->state(), *e)) {
         propose(i, command_for({a.service(), a.software_version()}, false));
     }
 }
--- a/libs/control/src/software.h
+++ b/libs/control/src/software.h
@@ -12,7 +12,6 @@
 
 #include "base/time.h"
 #include "catalog.pb.h"
-#include "deployment/deployment.h"
 #include "registry/registry.h"
 #include "services.pb.h"
 
@@ -47,8 +46,8 @@
 // Changes of the list to propose now. A version is kept for the whole retention under a new leader,
 // and under one that has stood still.
 [[nodiscard]] std::vector<schema::software_version_command> review_software(
-    const schema::catalog_state& state, const deployment::site& deployed,
-    const registry::registry& upstreams, software_review& review, time_point now);
+    const schema::catalog_state& state, const registry::registry& upstreams,
+    software_review& review, time_point now);
 // Proposes these changes if this instance leads.
 void maintain_software(instance& i, time_point now);
 // Proposes the version of an announced upstream if this instance leads and the list lacks it.
--- a/libs/control/tests/test_service_fleets.cpp
+++ b/libs/control/tests/test_service_fleets.cpp
@@ -38,6 +38,12 @@
     return s;
 }
 
+site_state make_site() {
+    site_state site;
+    (void)registry::set_services(site.upstreams, {service});
+    return site;
+}
+
 schema::upstream_announcement engine_with(std::size_t i, const std::vector<std::string>& models,
                                           const std::vector<std::string>& on_disk = {}) {
     schema::upstream_announcement a;
@@ -71,7 +77,7 @@
 }  // namespace
 
 TEST_CASE("engines and demand reach the planner as announced and reported") {
-    site_state site;
+    site_state site = make_site();
     registry::merge(site.upstreams, engine_with(0, {"m0", "m1"}), start);
     registry::merge(site.upstreams, engine_with(1, {"m0"}), start - max_silence);
     site.demand["g"] = {report_of("g", "m2", 76'000, 1), start};
@@ -88,7 +94,7 @@
 }
 
 TEST_CASE("before demand is known, copies show it, and after a loss of power those on disks") {
-    site_state site;
+    site_state site = make_site();
     registry::merge(site.upstreams, engine_with(0, {"m0"}, {"m2"}), start);
     registry::merge(site.upstreams, engine_with(1, {}, {"m1"}), start);
     registry::merge(site.upstreams, engine_with(2, {"m0"}), start);
@@ -98,11 +104,31 @@
     CHECK(f.all.demand.at("m2").engines == 0);
 }
 
+// Guards against engines of other writers that the planner counts on.
+TEST_CASE("only engines whose id and address are theirs reach the planner") {
+    site_state site = make_site();
+    registry::merge(site.upstreams, engine_with(0, {"m0"}), start);
+    schema::upstream_announcement foreign = engine_with(0, {"m1"});
+    foreign.set_id("x");
+    foreign.set_born_ms(9);
+    foreign.set_service("archive");
+    registry::merge(site.upstreams, foreign, start);
+    schema::upstream_announcement successor = engine_with(1, {"m2"});
+    registry::merge(site.upstreams, successor, start);
+    successor.set_id("successor");
+    successor.set_born_ms(2);
+    registry::merge(site.upstreams, successor, start);
+    const service_fleets f = fleets_of(site, service_with(3), max_silence, start);
+    REQUIRE(f.all.engines.size() == 2);
+    CHECK(f.all.engines[0].id == "e0");
+    CHECK(f.all.engines[1].id == "successor");
+}
+
 // Guards against rounds that hold the leader's loop.
 TEST_CASE("reading 180 engines and 312 models takes a small part of a planning round") {
     constexpr std::size_t engines = 180;
     constexpr std::size_t models = 312;
-    site_state site;
+    site_state site = make_site();
     for (std::size_t i = 0; i < engines; ++i) {
         std::vector<std::string> on_disk;
         for (std::size_t k = 0; k < 7; ++k) {
--- a/libs/control/tests/test_software.cpp
+++ b/libs/control/tests/test_software.cpp
@@ -30,16 +30,18 @@
     schema::catalog_state state;
     registry::registry upstreams;
     software_review memory;
-    deployment::site deployed;
 
     site() {
-        deployed.services.emplace_back();
-        deployed.services.back().name = "sorter";
+        forget_upstreams();
+    }
+    void forget_upstreams() {
+        upstreams = {};
+        (void)set_services(upstreams, {"sorter"});
     }
 
     // Proposes and commits; the number of changes.
     std::size_t review(time_point now) {
-        const auto changes = review_software(state, deployed, upstreams, memory, now);
+        const auto changes = review_software(state, upstreams, memory, now);
         for (const schema::software_version_command& change : changes) {
             schema::command c;
             *c.mutable_software_version() = change;
@@ -74,7 +76,7 @@
     site s;
     merge(s.upstreams, announcement("a", "v1", schema::announced_ready), start);
     CHECK(s.review(start) == 1);
-    s.upstreams = {};
+    s.forget_upstreams();
     merge(s.upstreams, announcement("b", "v2", schema::announced_ready), start + seconds(5));
     CHECK(s.review(start + seconds(5)) == 1);
     time_point now = start + seconds(5);
@@ -109,7 +111,7 @@
     site s;
     merge(s.upstreams, announcement("a", "v1", schema::announced_ready), start);
     CHECK(s.review(start) == 1);
-    s.upstreams = {};
+    s.forget_upstreams();
     CHECK(s.review(start + 2 * software_retention) == 0);
     CHECK(s.lists("v1"));
 }
--- a/libs/gateway/src/server.cpp
+++ b/libs/gateway/src/server.cpp
@@ -175,6 +175,7 @@
         // last reference.
         std::swap(c.view.current, next);
         c.view.confirmed_at = confirmed_at;
+        (void)apply_services(c.view, runtime::boot_now());
         log_event(severity::info, event::deployment_in_force,
                   {{"version", c.view.current.version},
                    {"routes", static_cast<std::uint64_t>(c.view.current.routes.size())}});
--- a/libs/gateway/src/site_view.cpp
+++ b/libs/gateway/src/site_view.cpp
@@ -24,43 +24,72 @@
     u.weights_on_disk = {a.on_disk().begin(), a.on_disk().end()};
 }
 
-// The other upstreams that were announced at the address of `a` and still accept requests.
-std::vector<dispatch::upstream*> others_at_address(site_view& v,
-                                                   const schema::upstream_announcement& a) {
-    std::vector<dispatch::upstream*> out;
-    const auto at = settings::parse_endpoint(a.address());
-    const auto ids = at ? v.ids_by_ip.find(at->ip) : v.ids_by_ip.end();
-    if (ids == v.ids_by_ip.end()) {
-        return out;
-    }
-    for (const std::string& id : ids->second) {
-        const auto found = v.upstreams.find(id);
-        if (id != a.id() && found != v.upstreams.end() && found->second.accepting &&
-            found->second.address == a.address()) {
-            out.push_back(&found->second);
+void withdraw(dispatch::upstream& u, time_point now) {
+    u.withdrawn_at = u.accepting ? now : u.withdrawn_at;
+    u.accepting = false;
+}
+
+void apply_active(site_view& v, const schema::upstream_announcement& a, time_point now) {
+    dispatch::upstream& u = v.upstreams[a.id()];
+    const bool restarted =
+        u.born_ms != a.born_ms() || u.address != a.address() || u.service != a.service();
+    if (restarted) {
+        const std::uint32_t in_flight = u.in_flight;
+        u = {};
+        v.divided_engines.clear();
+        u.in_flight = in_flight;
+        u.id = a.id();
+        u.born_ms = a.born_ms();
+        u.address = a.address();
+        u.service = a.service();
+        if (const auto at = settings::parse_endpoint(u.address)) {
+            v.ids_by_ip[at->ip].insert(u.id);
         }
     }
-    return out;
+    if (u.software_version.empty()) {
+        u.software_version = a.software_version();
+    }
+    u.failure_domain = a.failure_domain();
+    u.slots = a.slots();
+    if (a.state() == schema::announced_ready) {
+        u.accepting = true;
+        u.withdrawn_at = {};
+    } else {
+        withdraw(u, now);
+    }
+    u.cold_until = a.cold_ms() > 0 ? now + std::chrono::milliseconds(a.cold_ms()) : time_point{};
+    u.leaves_at =
+        a.leaves_ms() > 0 ? now + std::chrono::milliseconds(a.leaves_ms()) : time_point::max();
+    update_models(u, a);
 }
 
-void withdraw(dispatch::upstream& u, time_point now) {
-    u.withdrawn_at = u.accepting ? now : u.withdrawn_at;
-    u.accepting = false;
+// An upstream whose service is deployed and that is not active has lost its id or address to
+// another one. True if the view changed.
+bool withdraw_displaced(site_view& v, const schema::upstream_announcement& a, time_point now) {
+    const auto found = v.upstreams.find(a.id());
+    if (!registry::may_be_deployed(v.announced, a.service()) || found == v.upstreams.end() ||
+        found->second.born_ms != a.born_ms() || found->second.service != a.service() ||
+        !found->second.accepting) {
+        return false;
+    }
+    withdraw(found->second, now);
+    return true;
 }
 
-// Control may have forgotten the earlier incarnations at an address, so that it does not report
-// them as gone. Withdraws them; false if the address belongs to a newer incarnation, or to one that
-// started at the same time and was known first.
-bool take_address(site_view& v, const schema::upstream_announcement& a, time_point now) {
-    bool taken = true;
-    for (dispatch::upstream* other : others_at_address(v, a)) {
-        if (other->born_ms < a.born_ms()) {
-            withdraw(*other, now);
+// Brings the upstreams in line with the entries that changed; true if the view changed.
+bool apply_changed_entries(site_view& v, time_point now) {
+    bool changed = false;
+    for (const registry::upstream_key& key : changed_keys(v.announced, v.applied_changes)) {
+        const registry::upstream_entry& e = *find_entry(v.announced, key);
+        if (e.active) {
+            apply_active(v, e.latest, now);
+            changed = true;
         } else {
-            taken = false;
+            changed = withdraw_displaced(v, e.latest, now) || changed;
         }
     }
-    return taken;
+    v.applied_changes = v.announced.changes;
+    return changed;
 }
 
 // Factor by which earlier prompts count less with each one.
@@ -162,54 +191,26 @@
 }
 
 bool apply_announcement(site_view& v, const schema::upstream_announcement& a, time_point now) {
-    const std::pair order{a.born_ms(), a.sequence()};
-    const auto known = v.last_announcements.find(a.id());
-    const bool withdrawn = a.state() != schema::announced_ready;
-    if (known != v.last_announcements.end() && withdrawn && order < known->second &&
-        a.born_ms() == known->second.first) {
-        // Control was told by a gateway that the upstream leaves, possibly before it received the
-        // upstream's latest announcement.
-        dispatch::upstream& u = v.upstreams.at(a.id());
-        const bool accepted = u.accepting;
-        withdraw(u, now);
-        return accepted;
-    }
-    if (known != v.last_announcements.end() &&
-        (order < known->second || (order == known->second && !withdrawn))) {
-        return false;
-    }
-    v.last_announcements[a.id()] = order;
-    dispatch::upstream& u = v.upstreams[a.id()];
-    const bool restarted = u.born_ms != a.born_ms() || u.address != a.address();
-    const bool was_withdrawn = !restarted && !u.accepting;
-    if (restarted) {
-        const std::uint32_t in_flight = u.in_flight;
-        u = {};
-        v.divided_engines.clear();
-        u.in_flight = in_flight;
-        u.id = a.id();
-        u.born_ms = a.born_ms();
-        u.address = a.address();
-        if (const auto at = settings::parse_endpoint(u.address)) {
-            v.ids_by_ip[at->ip].insert(u.id);
-        }
+    const registry::merge_result merged = registry::merge(v.announced, a, now);
+    const bool changed = apply_changed_entries(v, now);
+    if (merged != registry::merge_result::refreshed) {
+        return changed;
     }
-    if (u.software_version.empty()) {
-        u.software_version = a.software_version();
-    }
-    u.service = a.service();
-    u.failure_domain = a.failure_domain();
-    u.slots = a.slots();
-    if (withdrawn || was_withdrawn || !take_address(v, a, now)) {
-        withdraw(u, now);
-    } else {
-        u.accepting = true;
+    const registry::upstream_entry* e = find_entry(v.announced, {a.id(), a.service()});
+    if (e == nullptr || !e->active) {
+        return changed;
     }
-    u.cold_until = a.cold_ms() > 0 ? now + std::chrono::milliseconds(a.cold_ms()) : time_point{};
-    u.leaves_at =
-        a.leaves_ms() > 0 ? now + std::chrono::milliseconds(a.leaves_ms()) : time_point::max();
-    update_models(u, a);
+    apply_active(v, e->latest, now);
     return true;
 }
 
+bool apply_services(site_view& v, time_point now) {
+    std::set<std::string, std::less<>> services;
+    for (const deployment::service_spec& s : v.current.services) {
+        services.insert(s.name);
+    }
+    (void)registry::set_services(v.announced, std::move(services));
+    return apply_changed_entries(v, now);
+}
+
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/src/site_view.h
+++ b/libs/gateway/src/site_view.h
@@ -10,6 +10,7 @@
 #include "deployment/deployment.h"
 #include "dispatch/roles.h"
 #include "dispatch/upstream.h"
+#include "registry/registry.h"
 #include "services.pb.h"
 #include "site.pb.h"
 
@@ -44,8 +45,10 @@
     std::map<std::string, dispatch::upstream> upstreams;
     // Ids of the upstreams that were announced at each IP address.
     std::map<std::string, std::set<std::string>, std::less<>> ids_by_ip;
-    // Start time and sequence number of the last announcement applied, by upstream id.
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> last_announcements;
+    // All announcements received. `upstreams` holds those that are or were active, by id.
+    registry::registry announced;
+    // The value of `announced.changes` that `upstreams` reflects.
+    std::uint64_t applied_changes = 0;
     // Pairs of upstream and model that the planner is about to unload.
     std::set<std::pair<std::string, std::string>> pending_unloads;
     // When models that no engine holds are expected to be loaded, as the leader plans it.
@@ -87,10 +90,12 @@
                    const dispatch::role_settings& s);
 // Applies a list of software versions unless a newer one was applied.
 void apply_software(site_view& v, const rpc::software_versions& list);
-// Applies an announcement that is newer than the last one applied, or equally new and states that
-// the upstream is not ready; an older one only withdraws its incarnation. An incarnation that was
-// withdrawn stays so. An address belongs to its newest incarnation; older ones there are withdrawn.
-// True if the view changed.
+// Merges an announcement and applies what follows from it: an upstream that lost its id or address
+// to another one is withdrawn. Upstreams whose service is not deployed get no requests, since no
+// route leads to them, but requests that run there go on. True if the view changed.
 bool apply_announcement(site_view& v, const schema::upstream_announcement& a, time_point now);
+// Applies the services of the deployment in force; to be called when it has changed. True if the
+// view of upstreams changed.
+bool apply_services(site_view& v, time_point now);
 
 }  // namespace burdockdeck::gateway
--- a/libs/gateway/tests/faulty_upstream.h
+++ b/libs/gateway/tests/faulty_upstream.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "core.h"
+#include "runtime/clock.h"
 #include "runtime/http.h"
 #include "session.h"
 
@@ -235,6 +236,7 @@
         std::promise<void> done;
         core_->traffic.post([&] {
             core_->view.current = s;
+            (void)apply_services(core_->view, runtime::boot_now());
             core_->view.software.versions["orders"] = {"v1"};
             for (const std::uint16_t port : upstream_ports) {
                 dispatch::upstream u;
--- a/libs/gateway/tests/fixture.h
+++ b/libs/gateway/tests/fixture.h
@@ -239,6 +239,7 @@
         c = std::make_unique<core>(settings, plain_protocol(model), value(access));
         run_on_traffic_loop(*c, [&] {
             c->view.current = make_site(kind);
+            (void)apply_services(c->view, runtime::boot_now());
             c->view.software.versions["maps"] = {"v1"};
         });
         runtime::spawn(c->traffic, [this] { return check_silence(*c); });
--- a/libs/gateway/tests/test_deadly_parts.cpp
+++ b/libs/gateway/tests/test_deadly_parts.cpp
@@ -220,7 +220,10 @@
         auto access = runtime::rpc_access::create(settings.access);
         REQUIRE(succeeded(access));
         core_ = std::make_unique<core>(settings, plain_protocol(), value(access));
-        run_on_traffic_loop(*core_, [this] { core_->view.current = one_route(); });
+        run_on_traffic_loop(*core_, [this] {
+            core_->view.current = one_route();
+            (void)apply_services(core_->view, runtime::boot_now());
+        });
         announce_engines();
     }
     fleet(const fleet&) = delete;
--- a/libs/gateway/tests/test_gateway.cpp
+++ b/libs/gateway/tests/test_gateway.cpp
@@ -19,6 +19,28 @@
 
 const time_point now{std::chrono::seconds(10)};
 
+void deploy(site_view& v, const std::vector<std::string>& services) {
+    v.current.services.clear();
+    for (const std::string& name : services) {
+        v.current.services.emplace_back();
+        v.current.services.back().name = name;
+    }
+    (void)apply_services(v, now);
+}
+
+// A view of a site whose deployment has these services.
+site_view make_view(const std::vector<std::string>& services) {
+    site_view v;
+    deploy(v, services);
+    return v;
+}
+
+bool accepts(const site_view& v, const std::string& id, const std::string& service = "maps") {
+    const auto found = v.upstreams.find(id);
+    return found != v.upstreams.end() && found->second.accepting &&
+           found->second.service == service;
+}
+
 schema::upstream_announcement make_announcement(
     std::uint64_t born, std::uint64_t sequence,
     schema::announced_state state = schema::announced_ready) {
@@ -37,7 +59,7 @@
 }  // namespace
 
 TEST_CASE("a deployment counts as the newest only for a limited time after its confirmation") {
-    site_view v;
+    site_view v = make_view({"maps"});
     const time_point now{std::chrono::seconds(100)};
     v.confirmed_at = now;
     CHECK_FALSE(has_newest_deployment(v, now));
@@ -50,7 +72,7 @@
 
 // Guards against a 404 for an added route while its deployment is still being fetched.
 TEST_CASE("a deployment is not the newest once an instance has reported a newer version") {
-    site_view v;
+    site_view v = make_view({"maps"});
     v.current.version = 4;
     v.confirmed_at = now;
     v.newest_reported_version = 4;
@@ -91,7 +113,7 @@
 }
 
 TEST_CASE("an announcement received through several instances is applied once") {
-    site_view v;
+    site_view v = make_view({"maps"});
     CHECK(apply_announcement(v, make_announcement(5, 2), now));
     CHECK_FALSE(apply_announcement(v, make_announcement(5, 2), now));
     CHECK_FALSE(apply_announcement(v, make_announcement(5, 1), now));
@@ -103,14 +125,14 @@
 // Guards against gateways that keep every incarnation of an upstream because control has forgotten
 // the earlier ones.
 TEST_CASE("a new incarnation withdraws the earlier ones at its address") {
-    site_view v;
+    site_view v = make_view({"maps"});
     const auto announce = [&](const std::string& id, std::uint64_t born,
                               const std::string& address) {
         schema::upstream_announcement a = make_announcement(born, 1);
         a.set_id(id);
         a.set_address(address);
         (void)apply_announcement(v, a, now);
-        return v.upstreams.at(id).accepting;
+        return accepts(v, id);
     };
     CHECK(announce("a", 5, "10.0.0.9:80"));
     CHECK(announce("other port", 5, "10.0.0.9:81"));
@@ -123,8 +145,68 @@
     CHECK(v.upstreams.at("b").accepting);
 }
 
-TEST_CASE("a restart under the same id resets the cached prefixes and the health of an upstream") {
+// Guards against an entry of another writer that takes a sound upstream's address or id.
+TEST_CASE("an announcement of a service that is not deployed withdraws no upstream") {
+    site_view v = make_view({"maps"});
+    CHECK(apply_announcement(v, make_announcement(5, 1), now));
+    for (const std::string id : {"u", "other"}) {
+        schema::upstream_announcement a = make_announcement(9, 7);
+        a.set_id(id);
+        a.set_service("archive");
+        CHECK_FALSE(apply_announcement(v, a, now));
+        a.set_state(schema::announced_draining);
+        CHECK_FALSE(apply_announcement(v, a, now));
+        CHECK(accepts(v, "u"));
+    }
+    CHECK_FALSE(apply_announcement(v, make_announcement(5, 1), now));
+    CHECK(v.upstreams.size() == 1);
+}
+
+// Control and gateways learn of a deployment at different times.
+TEST_CASE("upstreams are used once the deployment names their service") {
     site_view v;
+    schema::upstream_announcement foreign = make_announcement(9, 1);
+    foreign.set_id("foreign");
+    foreign.set_service("archive");
+    schema::upstream_announcement later = make_announcement(7, 1);
+    later.set_id("later");
+    later.set_service("mail");
+    later.set_address("10.0.0.2:80");
+    (void)apply_announcement(v, foreign, now);
+    (void)apply_announcement(v, make_announcement(5, 1), now);
+    (void)apply_announcement(v, later, now);
+    deploy(v, {"maps"});
+    CHECK(accepts(v, "u"));
+    CHECK_FALSE(accepts(v, "later", "mail"));
+    deploy(v, {"maps", "mail"});
+    CHECK(accepts(v, "later", "mail"));
+    // Requests that run at an upstream of a service that is taken out go on.
+    v.upstreams.at("later").in_flight = 2;
+    deploy(v, {"maps"});
+    CHECK(accepts(v, "later", "mail"));
+    deploy(v, {"maps", "mail"});
+    CHECK(accepts(v, "later", "mail"));
+    CHECK(v.upstreams.at("later").in_flight == 2);
+    CHECK(v.upstreams.size() == 2);
+}
+
+TEST_CASE("an upstream that went on to announce itself is used again when its address is free") {
+    site_view v = make_view({"maps", "mail"});
+    CHECK(apply_announcement(v, make_announcement(5, 1), now));
+    schema::upstream_announcement other = make_announcement(6, 1);
+    other.set_id("other");
+    other.set_service("mail");
+    CHECK(apply_announcement(v, other, now));
+    CHECK_FALSE(accepts(v, "u"));
+    CHECK(accepts(v, "other", "mail"));
+    deploy(v, {"maps"});
+    CHECK_FALSE(accepts(v, "u"));
+    CHECK(apply_announcement(v, make_announcement(5, 2), now));
+    CHECK(accepts(v, "u"));
+}
+
+TEST_CASE("a restart under the same id resets the cached prefixes and the health of an upstream") {
+    site_view v = make_view({"maps"});
     (void)apply_announcement(v, make_announcement(5, 2), now);
     dispatch::upstream& u = v.upstreams.at("u");
     dispatch::work w;
@@ -142,7 +224,7 @@
 }
 
 TEST_CASE("a model's adapters are kept by later announcements of that model") {
-    site_view v;
+    site_view v = make_view({"maps"});
     (void)apply_announcement(v, make_announcement(5, 1), now);
     v.upstreams.at("u").models.at("m").adapters["a1"] = now + std::chrono::seconds(1);
     (void)apply_announcement(v, make_announcement(5, 2), now);
@@ -184,7 +266,7 @@
 }
 
 TEST_CASE("a beacon applies only to the incarnation at its address") {
-    site_view v;
+    site_view v = make_view({"maps"});
     (void)apply_announcement(v, make_announcement(5, 1), now);
     schema::engine_beacon b;
     b.set_born_ms(4);
@@ -199,7 +281,7 @@
 }
 
 TEST_CASE("a gateway reports each leaving upstream until control has withdrawn it") {
-    site_view v;
+    site_view v = make_view({"maps"});
     (void)apply_announcement(v, make_announcement(5, 7), now);
     schema::engine_beacon b;
     b.set_born_ms(5);
@@ -227,7 +309,7 @@
 
 // Guards against a withdrawal undone by an announcement that was sent before it.
 TEST_CASE("an upstream that was withdrawn stays so until it restarts") {
-    site_view v;
+    site_view v = make_view({"maps"});
     (void)apply_announcement(v, make_announcement(5, 7), now);
     CHECK(apply_announcement(v, make_announcement(5, 6, schema::announced_draining), now));
     CHECK_FALSE(v.upstreams.at("u").accepting);
@@ -240,9 +322,7 @@
 
 // Pattern: nearly all prompts are short; a division would put them on a quarter of the engines.
 TEST_CASE("engines are divided by prompt length only if most tokens are in long prompts") {
-    site_view v;
-    v.current.services.emplace_back();
-    v.current.services.back().name = "maps";
+    site_view v = make_view({"maps"});
     v.current.services.back().engine.slots = 64;
     for (int i = 0; i < 8; ++i) {
         schema::upstream_announcement a = make_announcement(5, 1);
@@ -284,7 +364,7 @@
 }
 
 TEST_CASE("an engine's load becomes stale when its beacons stop") {
-    site_view v;
+    site_view v = make_view({"maps"});
     (void)apply_announcement(v, make_announcement(5, 1), now);
     dispatch::upstream& u = v.upstreams.at("u");
     CHECK_FALSE(dispatch::load_is_stale(u, now));
