consensus: only replies to messages of this leadership confirm reads

Callers could get a stream with events of two software versions: a gateway beside a leader that is cut off takes the list of versions that this leader reads for the newest, and binds a stream that began at a newer version to the one that it names.

Cause: replies confirm reads by a number that starts at zero with each process. A follower that stood still answers, in the present term, a request from before the leader's restart, with that request's number; it then counts as having confirmed all reads up to it.

Evidence: the new case of test_knowledge (no network) fails without the change: a leader whom no message reaches confirms a read. Ruled out: replies of an earlier term (ignored by their term), `match` (accepted requests only).

Now a reply confirms reads only if it echoes a time stamp that this node has sent since it became leader; time stamps have a random offset for each start.

--- a/libs/consensus/include/consensus/node.h
+++ b/libs/consensus/include/consensus/node.h
@@ -127,6 +127,8 @@
     std::set<node_id> votes;
     std::map<node_id, peer_progress> peers;
     log_index term_start = 0;
+    // When this node last became leader.
+    time_point leads_since{};
     std::uint64_t read_sequence = 0;
     std::vector<pending_read> reads;
 
--- a/libs/consensus/src/election.cpp
+++ b/libs/consensus/src/election.cpp
@@ -8,6 +8,7 @@
 void become_leader(node& n, time_point now) {
     n.current_role = role::leader;
     n.leader = n.id;
+    n.leads_since = now;
     n.peers.clear();
     update_peers(n, now);
     append_entry(n, schema::entry_barrier, "");
--- a/libs/consensus/src/knowledge.cpp
+++ b/libs/consensus/src/knowledge.cpp
@@ -10,14 +10,19 @@
     return n.clock_offset + static_cast<std::uint64_t>(now.time_since_epoch().count());
 }
 
+// True if this node has sent the message with this timestamp less than `longest` ago, and not
+// before the last restart.
+bool sent_within(const node& n, std::uint64_t timestamp, duration longest, time_point now) {
+    return timestamp_at(n, now) - timestamp < static_cast<std::uint64_t>(longest.count());
+}
+
 // The time at which this node sent the message with this timestamp; empty if that was
 // `election_max` or more ago, or before the last restart.
 std::optional<time_point> sent_time(const node& n, std::uint64_t timestamp, time_point now) {
-    const std::uint64_t age = timestamp_at(n, now) - timestamp;
-    if (age >= static_cast<std::uint64_t>(n.times.election_max.count())) {
+    if (!sent_within(n, timestamp, n.times.election_max, now)) {
         return std::nullopt;
     }
-    return now - duration(static_cast<duration::rep>(age));
+    return now - duration(static_cast<duration::rep>(timestamp_at(n, now) - timestamp));
 }
 
 bool is_recent(const node& n, const std::optional<time_point>& at, time_point now) {
@@ -63,6 +68,12 @@
 void record_reply(const node& n, peer_progress& from, const raft_message& m, time_point now) {
     from.last_sent_at = m.sent_at();
     from.confirmed_at = std::max(from.confirmed_at, sent_time(n, m.echoed(), now));
+    // Read sequences start anew with each process. A peer may reply in this term to a message from
+    // before a restart.
+    const duration led_for = now - n.leads_since + duration(1);
+    if (sent_within(n, m.echoed(), led_for, now)) {
+        from.acked_read = std::max(from.acked_read, m.read_sequence());
+    }
 }
 
 }  // namespace burdockdeck::consensus
--- a/libs/consensus/src/node_parts.h
+++ b/libs/consensus/src/node_parts.h
@@ -74,7 +74,8 @@
 // in the reply to `request`.
 void stamp(const node& n, raft_message& m, const peer_progress& to, time_point now);
 void stamp_reply(const node& n, raft_message& m, const raft_message& request, time_point now);
-// Process the timestamps in a message from the leader, and in a reply to the leader.
+// Process the timestamps in a message from the leader, and in a reply to the leader. A reply
+// confirms reads if it answers a message that this node sent since it became leader.
 void record_leader_confirmation(node& n, const raft_message& m, time_point now);
 void record_reply(const node& n, peer_progress& from, const raft_message& m, time_point now);
 
--- a/libs/consensus/src/replication.cpp
+++ b/libs/consensus/src/replication.cpp
@@ -271,7 +271,6 @@
     peer_progress& peer = found->second;
     peer.last_heard = now;
     record_reply(n, peer, m, now);
-    peer.acked_read = std::max(peer.acked_read, m.read_sequence());
     if (m.reject()) {
         const log_index retry_from = std::max(m.log_index(), peer.match) + 1;
         peer.next = std::min(retry_from, last_index(n) + 1);
--- a/libs/consensus/tests/test_knowledge.cpp
+++ b/libs/consensus/tests/test_knowledge.cpp
@@ -134,6 +134,92 @@
     }
 }
 
+// Guards against a deposed leader whose reads are confirmed by a reply to its earlier start: a
+// gateway beside it would take a list of software versions for the newest.
+TEST_CASE("a reply to a message from before a restart confirms no read") {
+    std::mt19937_64 rng(7);
+    time_point now{std::chrono::seconds(100)};
+    restored_state founding;
+    founding.snapshot.set_index(1);
+    founding.snapshot.set_term(1);
+    founding.hard_state.set_term(1);
+    for (node_id id = 1; id <= 3; ++id) {
+        founding.snapshot.mutable_members()->add_voters()->set_id(id);
+    }
+    std::map<node_id, node> nodes;
+    for (node_id id = 1; id <= 3; ++id) {
+        nodes[id] = create(id, "c", timing{}, founding, now, rng);
+    }
+    const auto all = [](const schema::raft_message&) { return true; };
+    // Delivers messages until there are none, except those that `passes` holds back.
+    const auto settle = [&](const auto& passes) {
+        std::vector<schema::raft_message> held;
+        for (bool sent = true; sent;) {
+            sent = false;
+            for (auto& [id, n] : nodes) {
+                for (const schema::raft_message& m : take_outputs(n).messages) {
+                    if (passes(m)) {
+                        step(nodes.at(m.to()), m, now, rng);
+                        sent = true;
+                    } else {
+                        held.push_back(m);
+                    }
+                }
+            }
+        }
+        return held;
+    };
+    const auto elect = [&](node_id id) {
+        const auto no_rival = [id](const schema::raft_message& m) {
+            return m.from() == id || m.kind() != schema::pre_vote_request;
+        };
+        for (int i = 0; i < 200 && nodes.at(id).current_role != role::leader; ++i) {
+            now += milliseconds(20);
+            for (auto& [other, n] : nodes) {
+                tick(n, now, rng);
+            }
+            settle(no_rival);
+        }
+        REQUIRE(nodes.at(id).current_role == role::leader);
+    };
+    elect(1);
+    for (std::uint64_t context = 1; context <= 20; ++context) {
+        REQUIRE(succeeded(request_read(nodes.at(1), context)));
+    }
+    flush(nodes.at(1), now);
+    const std::vector<schema::raft_message> delayed =
+        settle([](const schema::raft_message& m) { return m.to() != 2; });
+    REQUIRE_FALSE(delayed.empty());
+    restored_state kept = founding;
+    kept.hard_state.set_term(nodes.at(1).term);
+    kept.hard_state.set_voted_for(1);
+    kept.entries = nodes.at(1).log.entries;
+    nodes.at(1) = create(1, "c", timing{}, kept, now, rng);
+    elect(1);
+    for (const schema::raft_message& m : delayed) {
+        step(nodes.at(2), m, now, rng);
+    }
+    settle(all);
+    // Nothing reaches the leader any more, so that another one may have been elected.
+    REQUIRE(succeeded(request_read(nodes.at(1), 99)));
+    flush(nodes.at(1), now);
+    CHECK(take_outputs(nodes.at(1)).reads.empty());
+    // The leader is heard again.
+    now += milliseconds(60);
+    tick(nodes.at(1), now, rng);
+    for (const schema::raft_message& m : take_outputs(nodes.at(1)).messages) {
+        step(nodes.at(m.to()), m, now, rng);
+    }
+    for (const node_id id : {2, 3}) {
+        for (const schema::raft_message& m : take_outputs(nodes.at(id)).messages) {
+            step(nodes.at(1), m, now, rng);
+        }
+    }
+    const std::vector<ready_read> confirmed = take_outputs(nodes.at(1)).reads;
+    REQUIRE(confirmed.size() == 1);
+    CHECK(confirmed[0].context == 99);
+}
+
 TEST_CASE("random faults: no outdated node counts as up to date, and after repair all nodes do") {
     for (unsigned seed = 1; seed <= 40; ++seed) {
         CAPTURE(seed);
