gateway: streams that are taken up are bound whatever their route says

Callers whose streams had begun at one software version, and who took them up at a gateway that had missed the deployment which made the route resumable, could get the rest from another version.

Cause: whether a stream is bound to a version was read from the route in the gateway's own deployment; for a route that is not resumable, `Last-Event-Id` was forwarded to any upstream.

Evidence: the new case of test_stream_origin (loopback): without the change the request reaches an upstream of any version.

Now a request for a stream that names received events is bound as on a resumable route, since a stream that is taken up was resumable when it began: it goes on at the version that its origin names, or is refused at once.

--- a/libs/gateway/src/request_state.h
+++ b/libs/gateway/src/request_state.h
@@ -90,9 +90,17 @@
     return r.repeatable && r.events.events_without_id == 0 && !r.may_have_crashed_engine;
 }
 
-// True if all events of the answer must come from upstreams of one software version.
+// True if the request names events that its caller has received.
+[[nodiscard]] inline bool names_received_events(const request_state& r) {
+    return r.facts.last_event_id || !r.facts.resumes.empty();
+}
+
+// True if all events of the answer must come from upstreams of one software version. A stream that
+// is taken up was resumable when it began, even if a deployment that this gateway has missed made
+// it so.
 [[nodiscard]] inline bool is_bound_to_version(const request_state& r) {
-    return r.route.kind == deployment::repeatability::streaming && r.route.resumable;
+    return r.route.kind == deployment::repeatability::streaming &&
+           (r.route.resumable || names_received_events(r));
 }
 
 // Time from the first to the last event that arrived in the current attempt.
--- a/libs/gateway/src/stream_origin.cpp
+++ b/libs/gateway/src/stream_origin.cpp
@@ -238,7 +238,7 @@
 }  // namespace
 
 bool is_taken_up(const request_state& r) {
-    return is_bound_to_version(r) && (r.facts.last_event_id || !r.facts.resumes.empty());
+    return is_bound_to_version(r) && names_received_events(r);
 }
 
 std::set<std::string, std::less<>> origin_hosts(const site_view& v, time_point now) {
--- a/libs/gateway/tests/test_stream_origin.cpp
+++ b/libs/gateway/tests/test_stream_origin.cpp
@@ -403,6 +403,24 @@
     CHECK(upstreams.received().empty());
 }
 
+// Guards against a gateway that has missed the deployment which made the route resumable.
+TEST_CASE("a stream that is taken up where its route is not resumable yet is not joined") {
+    const scripted_upstreams upstreams(2, {{stream_of(3, 4), ending::close}});
+    gateway_under_test g(upstreams.ports(), repeatability::streaming);
+    g.run([](gateway::core& c) { c.view.current.routes.front().resumable = false; });
+    set_software(g, upstreams.ports(), {"v2", "v1"}, {"v1", "v2"});
+    CHECK(g.call("r2", "body", after_two).starts_with("HTTP/1.1 503"));
+    CHECK(upstreams.received().empty());
+    // With its origin known it goes on.
+    g.run([](gateway::core& c) {
+        resumption::record_origin(c.origins, "r1", {"orders", "v1"}, std::chrono::seconds(10),
+                                  runtime::boot_now());
+    });
+    CHECK(g.call("r3", "body", after_two).starts_with("HTTP/1.1 200"));
+    REQUIRE(upstreams.received().size() == 1);
+    CHECK(upstreams.received()[0].upstream == 1);
+}
+
 // Guards against a request that is held for a version that does not come back.
 TEST_CASE("a stream whose software version has left is refused at once") {
     const scripted_upstreams upstreams(2, {{stream_of(3, 4), ending::close}});
