registry: bound the entries of deployed services at one address

Now at most 16 entries that are not active are kept at one address; those that were not repeated for longest go first, and an upstream repeats its own. They are erased together, also when a deployment becomes known after thousands have arrived.

--- a/libs/registry/include/registry/registry.h
+++ b/libs/registry/include/registry/registry.h
@@ -25,6 +25,8 @@
 // longest are dropped first: an upstream repeats its own.
 inline constexpr std::size_t max_inactive_entries = 4096;
 inline constexpr std::size_t max_inactive_bytes = 16 * 1024 * 1024;
+// The same for those of deployed services at one address; each change there looks at all of them.
+inline constexpr std::size_t max_inactive_at_address = 16;
 
 // One id may be announced for several services.
 struct upstream_key {
--- a/libs/registry/src/registry.cpp
+++ b/libs/registry/src/registry.cpp
@@ -1,6 +1,7 @@
 // Merges announcements that may arrive late, twice or out of order.
 #include "registry/registry.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -178,16 +179,21 @@
     }
 }
 
-void remove(registry& r, const upstream_key& key) {
+// Erases an entry and returns its announcement; the entries that it displaced are not updated.
+upstream_announcement erase(registry& r, const upstream_key& key) {
     const auto found = r.upstreams.find(key);
     if (!found->second.active) {
         subtract_inactive(r, found->second);
     }
-    const upstream_announcement last = std::move(found->second.latest);
+    upstream_announcement last = std::move(found->second.latest);
     r.keys_by_change.erase(found->second.last_change);
     remove_from_index(r, key, last.address());
     r.upstreams.erase(found);
-    update_rivals(r, last);
+    return last;
+}
+
+void remove(registry& r, const upstream_key& key) {
+    update_rivals(r, erase(r, key));
 }
 
 // Stores `a` in its entry, which is added if there is none.
@@ -229,6 +235,29 @@
     }
 }
 
+void drop_excess_at(registry& r, const std::string& address) {
+    std::vector<std::pair<time_point, upstream_key>> inactive;
+    for (const upstream_key& key : deployed_at(r, address)) {
+        const upstream_entry& e = r.upstreams.at(key);
+        if (!e.active) {
+            inactive.emplace_back(e.last_seen, key);
+        }
+    }
+    if (inactive.size() <= max_inactive_at_address) {
+        return;
+    }
+    std::sort(inactive.begin(), inactive.end());
+    inactive.resize(inactive.size() - max_inactive_at_address);
+    std::vector<upstream_announcement> erased;
+    erased.reserve(inactive.size());
+    for (const auto& [last_seen, key] : inactive) {
+        erased.push_back(erase(r, key));
+    }
+    for (const upstream_announcement& last : erased) {
+        update_rivals(r, last);
+    }
+}
+
 // A start of an upstream has one software version, the first that it announced. An earlier version
 // of this program announced none.
 void keep_software_version(upstream_announcement& a, const upstream_announcement& known) {
@@ -317,6 +346,7 @@
     }
     const bool told = e.active || !r.services;
     const bool activated = e.active && !was_active;
+    drop_excess_at(r, a.address());
     drop_excess(r);
     if (!told) {
         return merge_result::inactive;
@@ -343,6 +373,15 @@
             activated.push_back(e.latest);
         }
     }
+    std::vector<std::string> crowded;
+    for (const auto& [address, keys] : r.deployed_by_address) {
+        if (keys.size() > max_inactive_at_address) {
+            crowded.push_back(address);
+        }
+    }
+    for (const std::string& address : crowded) {
+        drop_excess_at(r, address);
+    }
     drop_excess(r);
     return activated;
 }
--- a/libs/registry/tests/test_registry.cpp
+++ b/libs/registry/tests/test_registry.cpp
@@ -344,6 +344,35 @@
     CHECK(r.keys_by_change.size() == 1);
 }
 
+// Guards against a loop that is held by each of many entries at one address.
+TEST_CASE("entries of deployed services at one address are bounded") {
+    registry::registry r = make_registry();
+    merge(r, announce("a", 900, 1), start);
+    for (std::uint64_t i = 0; i < 500; ++i) {
+        const auto at = start + std::chrono::milliseconds(i);
+        const std::string id = "x" + std::to_string(i);
+        CHECK(merge(r, announce(id, 1 + i, 1), at) == merge_result::inactive);
+    }
+    CHECK(r.upstreams.size() == 1 + registry::max_inactive_at_address);
+    CHECK(is_active(r, "a"));
+    CHECK(find_entry(r, {"x499", "maps"}) != nullptr);
+    // A newer start takes the address as ever.
+    merge(r, announce("b", 901, 1), start + std::chrono::seconds(1));
+    CHECK(is_active(r, "b"));
+    CHECK_FALSE(is_active(r, "a"));
+    CHECK(r.upstreams.size() == 1 + registry::max_inactive_at_address);
+    // The same for entries that were announced before a deployment was known.
+    registry::registry started;
+    for (std::uint64_t i = 0; i < 500; ++i) {
+        merge(started, announce("x" + std::to_string(i), 1 + i, 1), start);
+    }
+    CHECK(set_services(started, {"maps"}).size() == 1);
+    CHECK(is_active(started, "x499"));
+    CHECK(started.upstreams.size() == 1 + registry::max_inactive_at_address);
+    CHECK(started.inactive_entries == registry::max_inactive_at_address);
+    CHECK(started.keys_by_change.size() == started.upstreams.size());
+}
+
 TEST_CASE("which entries are active does not depend on the order of events") {
     const unsigned seed = 12;
     MESSAGE("seed " << seed);
